Add the design page, base library and build

Cause: the repository was empty; modules built side by side need one contract and one set of basic types. Change: docs/design.md (requirements, interfaces, state, failures, alternatives); base/ (results on std::error_code, codec with checked lengths, frames, charts, YAML reader, JSON-lines log, metrics, event threads); the table interface with an in-memory table; value types of the configuration and of requests; CMake build, lint, test and bench scripts. No speed figures yet. Conclusion: the modules can be built in parallel against these headers.

--- /dev/null
+++ b/base/log.cc
@@ -0,0 +1,258 @@
+#include "base/log.h"
+
+#include <log4cplus/configurator.h>
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/fileappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+
+#include <atomic>
+#include <cmath>
+#include <cstdio>
+#include <thread>
+
+#include "absl/synchronization/mutex.h"
+#include "absl/time/clock.h"
+#include "absl/time/time.h"
+#include "base/strings.h"
+
+namespace cuminjunction {
+
+namespace {
+
+// Lines queued beyond this many bytes are dropped.
+constexpr size_t kMaxQueuedBytes = 8 * 1024 * 1024;
+
+// How long the writer gathers lines before it passes them on.
+constexpr absl::Duration kBatchInterval = absl::Milliseconds(10);
+
+std::string_view LevelName(LogLevel level) {
+  switch (level) {
+    case LogLevel::kInfo:
+      return "info";
+    case LogLevel::kWarning:
+      return "warning";
+    case LogLevel::kError:
+      return "error";
+  }
+  return "info";
+}
+
+// log4cplus is initialized once in a process and shut down at its end.
+void InitializeLog4cplus() {
+  static log4cplus::Initializer initializer;
+}
+
+log4cplus::SharedAppenderPtr MakeAppender(const std::string& path) {
+  log4cplus::SharedAppenderPtr appender;
+  if (path == "-") {
+    appender = new log4cplus::ConsoleAppender();
+  } else {
+    appender = new log4cplus::FileAppender(path, std::ios_base::app,
+                                           /*immediateFlush=*/true);
+  }
+  appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m"));
+  return appender;
+}
+
+}  // namespace
+
+void AppendJsonString(std::string_view text, std::string* out) {
+  out->push_back('"');
+  for (const char c : text) {
+    switch (c) {
+      case '"':
+        out->append("\\\"");
+        break;
+      case '\\':
+        out->append("\\\\");
+        break;
+      case '\n':
+        out->append("\\n");
+        break;
+      case '\r':
+        out->append("\\r");
+        break;
+      case '\t':
+        out->append("\\t");
+        break;
+      default:
+        // Control characters and bytes above ASCII are escaped one by one, so
+        // that bytes of a caller that are not UTF-8 can't break the line.
+        if (static_cast<unsigned char>(c) < 0x20 ||
+            static_cast<unsigned char>(c) >= 0x7f) {
+          StrAppend(out, "\\u00",
+                    absl::Hex(static_cast<unsigned char>(c), absl::kZeroPad2));
+        } else {
+          out->push_back(c);
+        }
+    }
+  }
+  out->push_back('"');
+}
+
+LogLine::LogLine(std::string_view event, LogLevel level) {
+  this->text.reserve(256);
+  StrAppend(&this->text, "{\"time_us\":", absl::ToUnixMicros(absl::Now()),
+            ",\"level\":\"", LevelName(level), "\",\"event\":");
+  AppendJsonString(event, &this->text);
+}
+
+void LogLine::Key(std::string_view key) {
+  this->text.push_back(',');
+  AppendJsonString(key, &this->text);
+  this->text.push_back(':');
+}
+
+LogLine& LogLine::Add(std::string_view key, std::string_view value) {
+  this->Key(key);
+  AppendJsonString(value, &this->text);
+  return *this;
+}
+
+LogLine& LogLine::Add(std::string_view key, const char* value) {
+  return this->Add(key, std::string_view(value));
+}
+
+LogLine& LogLine::Add(std::string_view key, int64_t value) {
+  this->Key(key);
+  StrAppend(&this->text, value);
+  return *this;
+}
+
+LogLine& LogLine::Add(std::string_view key, uint64_t value) {
+  this->Key(key);
+  StrAppend(&this->text, value);
+  return *this;
+}
+
+LogLine& LogLine::Add(std::string_view key, int value) {
+  return this->Add(key, static_cast<int64_t>(value));
+}
+
+LogLine& LogLine::Add(std::string_view key, double value) {
+  this->Key(key);
+  // JSON has no infinity and no NaN.
+  if (std::isfinite(value))
+    StrAppend(&this->text, value);
+  else
+    this->text.append("null");
+  return *this;
+}
+
+LogLine& LogLine::Add(std::string_view key, bool value) {
+  this->Key(key);
+  this->text.append(value ? "true" : "false");
+  return *this;
+}
+
+LogLine& LogLine::Add(std::string_view key, std::error_code error) {
+  return this->Add(key, std::string_view(StrCat(error.category().name(), ": ",
+                                                error.message())));
+}
+
+LogLine& LogLine::AddJson(std::string_view key, std::string_view json) {
+  this->Key(key);
+  this->text.append(json);
+  return *this;
+}
+
+std::string LogLine::Finish() const {
+  return StrCat(this->text, "}\n");
+}
+
+struct Log::Writer {
+  explicit Writer(const std::string& path);
+  ~Writer();
+
+  void Run();
+  void WriteBatch();
+
+  log4cplus::Logger logger;
+  absl::Mutex mutex;
+  absl::Mutex output_mutex;
+  std::string queued;
+  uint64_t dropped = 0;
+  bool stopping = false;
+  std::thread thread;
+};
+
+Log::Writer::Writer(const std::string& path) {
+  InitializeLog4cplus();
+  // Each Log has a logger of its own, so that two logs of one process (as in
+  // tests) don't write into one another's files.
+  static std::atomic<int> next_id = 0;
+  this->logger = log4cplus::Logger::getInstance(
+      StrCat("cuminjunction", next_id.fetch_add(1)));
+  this->logger.setAdditivity(false);
+  this->logger.addAppender(MakeAppender(path));
+  this->thread = std::thread([this] { this->Run(); });
+}
+
+Log::Writer::~Writer() {
+  {
+    absl::MutexLock lock(&this->mutex);
+    this->stopping = true;
+  }
+  this->thread.join();
+  this->WriteBatch();
+  this->logger.removeAllAppenders();
+}
+
+void Log::Writer::Run() {
+  for (;;) {
+    {
+      absl::MutexLock lock(&this->mutex);
+      this->mutex.AwaitWithTimeout(absl::Condition(&this->stopping),
+                                   kBatchInterval);
+      if (this->stopping)
+        return;
+    }
+    this->WriteBatch();
+  }
+}
+
+void Log::Writer::WriteBatch() {
+  absl::MutexLock output_lock(&this->output_mutex);
+  std::string batch;
+  uint64_t batch_dropped = 0;
+  {
+    absl::MutexLock lock(&this->mutex);
+    batch.swap(this->queued);
+    std::swap(batch_dropped, this->dropped);
+  }
+  if (batch_dropped > 0) {
+    batch.append(LogLine("log_lines_dropped", LogLevel::kWarning)
+                     .Add("count", batch_dropped)
+                     .Finish());
+  }
+  if (!batch.empty())
+    this->logger.log(log4cplus::INFO_LOG_LEVEL, batch);
+}
+
+Log::Log(const std::string& path) {
+  if (!path.empty())
+    this->writer = std::make_unique<Writer>(path);
+}
+
+Log::~Log() = default;
+
+void Log::Write(const LogLine& line) {
+  if (!this->writer)
+    return;
+  const std::string text = line.Finish();
+  absl::MutexLock lock(&this->writer->mutex);
+  if (this->writer->queued.size() + text.size() > kMaxQueuedBytes)
+    ++this->writer->dropped;
+  else
+    this->writer->queued.append(text);
+}
+
+void Log::Flush() {
+  if (this->writer)
+    this->writer->WriteBatch();
+}
+
+}  // namespace cuminjunction
--- /dev/null
+++ b/base/testing/log_test.cc
@@ -0,0 +1,84 @@
+#include "base/log.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <nlohmann/json.hpp>
+#include <thread>
+#include <vector>
+
+#include "base/event_thread.h"
+#include "base/file.h"
+#include "base/metrics.h"
+#include "base/strings.h"
+
+namespace cuminjunction {
+namespace {
+
+// Guards against bytes of a caller breaking the line they are logged in.
+TEST(LogTest, LineIsValidJsonForAnyBytes) {
+  std::string bytes;
+  for (int i = 0; i < 256; ++i)
+    bytes.push_back(static_cast<char>(i));
+  const std::string line =
+      LogLine("route").Add("bytes", bytes).Add("nan", 0.0 / 0.0).Finish();
+  const nlohmann::json json = nlohmann::json::parse(line, nullptr, false);
+  ASSERT_FALSE(json.is_discarded());
+  EXPECT_EQ(json["event"], "route");
+  EXPECT_EQ(line.find('\n'), line.size() - 1);
+}
+
+TEST(LogTest, LinesOfManyThreadsArriveWhole) {
+  const std::string path = testing::TempDir() + "log_test.jsonl";
+  std::remove(path.c_str());
+  {
+    Log log(path);
+    std::vector<std::thread> threads;
+    threads.reserve(4);
+    for (int t = 0; t < 4; ++t) {
+      threads.emplace_back([&log] {
+        for (int i = 0; i < 500; ++i)
+          log.Write(LogLine("step").Add("i", i));
+      });
+    }
+    for (std::thread& thread : threads)
+      thread.join();
+  }
+  const std::string content = ReadFile(path).value();
+  int lines = 0;
+  for (const std::string& line : StrSplit(content, '\n')) {
+    if (line.empty())
+      continue;
+    EXPECT_TRUE(nlohmann::json::accept(line));
+    ++lines;
+  }
+  EXPECT_EQ(lines, 2000);
+}
+
+TEST(MetricsTest, TextNamesEachMetricOnce) {
+  Metrics metrics;
+  metrics.GetCounter("a_total", "x=\"1\"").Add(2);
+  metrics.GetCounter("a_total", "x=\"2\"").Add();
+  metrics.GetGauge("g").Set(1.5);
+  for (int i = 1; i <= 1000; ++i)
+    metrics.GetSummary("s").Observe(i);
+  const std::string text = metrics.Text();
+  EXPECT_NE(text.find("cuminjunction_a_total{x=\"1\"} 2\n"), std::string::npos);
+  EXPECT_EQ(text.find("# TYPE cuminjunction_a_total"),
+            text.rfind("# TYPE cuminjunction_a_total"));
+  EXPECT_NEAR(metrics.GetSummary("s").Quantile(0.99), 990, 10);
+}
+
+TEST(EventThreadTest, RunsMessagesInOrder) {
+  EventThread thread("test");
+  thread.Start();
+  std::vector<int> order;
+  for (int i = 0; i < 10; ++i)
+    thread.Post([&order, i] { order.push_back(i); });
+  EXPECT_EQ(thread.Call([&order] { return order.size(); }), 10u);
+  thread.Stop();
+  EXPECT_TRUE(std::is_sorted(order.begin(), order.end()));
+}
+
+}  // namespace
+}  // namespace cuminjunction
--- /dev/null
+++ b/base/time.h
@@ -0,0 +1,58 @@
+#ifndef BASE_TIME_H_
+#define BASE_TIME_H_
+
+// Points in time.
+//
+// Deadlines and time stamps are absl::Time. Decision code never asks for the
+// time: it takes `now` as an argument, so that tests and replays choose it.
+// Threads ask a Clock once per event and pass the answer down.
+
+#include <concepts>
+#include <cstdint>
+
+#include "absl/time/clock.h"
+#include "absl/time/time.h"
+
+namespace cuminjunction {
+
+template <class C>
+concept Clock = requires(const C& clock) {
+  { clock.Now() } -> std::same_as<absl::Time>;
+};
+
+// The wall clock of this VM, within 250 ms of the clocks of other VMs.
+class SystemClock {
+ public:
+  absl::Time Now() const { return absl::Now(); }
+};
+
+// A clock that never jumps. Its points in time have no meaning on another VM;
+// lease deadlines and timeouts of this process are measured on it.
+class SteadyClock {
+ public:
+  absl::Time Now() const;
+};
+
+// A clock that a test sets by hand.
+class ManualClock {
+ public:
+  explicit ManualClock(absl::Time start = absl::UnixEpoch()) : now(start) {}
+  absl::Time Now() const { return this->now; }
+  void Advance(absl::Duration step) { this->now += step; }
+
+ private:
+  absl::Time now;
+};
+
+// Microseconds since the Unix epoch, the form of a time in messages and rows.
+inline int64_t ToMicros(absl::Time time) {
+  return absl::ToUnixMicros(time);
+}
+
+inline absl::Time FromMicros(int64_t micros) {
+  return absl::FromUnixMicros(micros);
+}
+
+}  // namespace cuminjunction
+
+#endif  // BASE_TIME_H_
