--- a/base/testing/yaml_test.cc
+++ b/base/testing/yaml_test.cc
@@ -35,6 +35,21 @@
   EXPECT_EQ(problems[4].code, YamlError::kMissingKey);
 }
 
+// Guards against an exception of yaml-cpp for a section that is absent or not a
+// mapping.
+TEST(YamlTest, AbsentAndWrongSectionsReadAsEmpty) {
+  std::vector<YamlProblem> problems;
+  const auto node = ParseYaml("a: 1\nb: [1]\n", "s.yaml", &problems);
+  YamlMap map(node.value(), "s.yaml", &problems);
+  for (const char* key : {"a", "b", "c"}) {
+    YamlMap section = map.Map(key);
+    EXPECT_EQ(section.Int("x", 7, 0, 10), 7);
+    section.Finish();
+  }
+  EXPECT_EQ(map.String("a", ""), "1");
+  EXPECT_EQ(problems.size(), 2u);
+}
+
 TEST(YamlTest, SyntaxErrorIsAProblemWithALine) {
   std::vector<YamlProblem> problems;
   EXPECT_FALSE(ParseYaml("a: [1\nb: }", "s.yaml", &problems));
--- a/base/yaml.cc
+++ b/base/yaml.cc
@@ -95,13 +95,16 @@
 YamlMap::YamlMap(const YAML::Node& node,
                  std::string file,
                  std::vector<YamlProblem>* problems)
-    : node(node), file(std::move(file)), problems(problems) {
-  if (!node.IsDefined() || node.IsNull())
+    : node(node.IsDefined() ? node : YAML::Node()),
+      file(std::move(file)),
+      problems(problems) {
+  if (this->node.IsNull())
     return;
   if (!node.IsMap()) {
     this->problems->push_back(
         {YamlError::kNotAMap, this->file, LineOf(node), "", ""});
-    this->node = YAML::Node();
+    // Assignment would change the document that this node is a part of.
+    this->node.reset(YAML::Node());
     return;
   }
   std::set<std::string> seen;
--- /dev/null
+++ b/daemon/settings.cc
@@ -0,0 +1,164 @@
+#include "daemon/settings.h"
+
+#include <cmath>
+#include <limits>
+
+#include "absl/strings/numbers.h"
+
+namespace cuminjunction {
+
+namespace {
+
+constexpr int64_t kMaxPort = 65535;
+constexpr int64_t kMaxBodyBytes = 64 * 1024 * 1024;
+constexpr int64_t kMaxLeaseSeconds = 24 * 3600;
+constexpr double kMillicoresPerCore = 1000;
+constexpr double kMibPerGib = 1024;
+
+uint16_t Port(YamlMap* map, const std::string& key) {
+  return static_cast<uint16_t>(map->Int(key, 0, 0, kMaxPort));
+}
+
+ListenSettings ReadListen(YamlMap map) {
+  ListenSettings listen;
+  listen.host = map.String("host", listen.host);
+  listen.request_port = Port(&map, "request_port");
+  listen.admin_port = Port(&map, "admin_port");
+  listen.membership_port = Port(&map, "membership_port");
+  listen.agent_port = Port(&map, "agent_port");
+  map.Finish();
+  return listen;
+}
+
+PlatformSettings ReadPlatform(YamlMap map) {
+  PlatformSettings platform;
+  platform.table_url = map.String("table_url", "");
+  platform.objects_url = map.String("objects_url", "");
+  platform.timeout_ms = map.Int("timeout_ms", platform.timeout_ms, 10, 60000);
+  map.Finish();
+  return platform;
+}
+
+UpstreamSettings ReadUpstream(YamlMap map) {
+  UpstreamSettings upstream;
+  upstream.announces = map.Strings("announces");
+  upstream.url = map.String("url", "");
+  upstream.probe_path = map.String("probe_path", upstream.probe_path);
+  upstream.slots = map.Int("slots", upstream.slots, 1, 1024);
+  upstream.connections = map.Int("connections", upstream.connections, 1, 4096);
+  if (upstream.announces.empty() != upstream.url.empty()) {
+    map.Problem(YamlError::kMissingKey,
+                upstream.url.empty() ? "url" : "announces",
+                "an upstream has both announces and url");
+  }
+  map.Finish();
+  return upstream;
+}
+
+Size ReadSize(YamlMap map) {
+  constexpr double limit = 1e6;
+  const double cores = map.Double("cores", 0, 0, limit);
+  const double memory_gib = map.Double("memory_gib", 0, 0, limit);
+  Size size;
+  size.millicores = std::llround(cores * kMillicoresPerCore);
+  size.memory_mib = std::llround(memory_gib * kMibPerGib);
+  size.accelerators = map.Int("accelerators", 0, 0, 1024);
+  map.Finish();
+  return size;
+}
+
+WorkerSettings ReadWorker(YamlMap map) {
+  WorkerSettings worker;
+  worker.runtime_url = map.String("runtime_url", "");
+  worker.rack = map.String("rack", "");
+  worker.size = ReadSize(map.Map("size"));
+  worker.lease_s = map.Int("lease_s", worker.lease_s, 5, kMaxLeaseSeconds);
+  worker.renewal_s = map.Int("renewal_s", worker.renewal_s, 1, 3600);
+  if (worker.renewal_s * 3 > worker.lease_s) {
+    map.Problem(YamlError::kOutOfRange, "renewal_s",
+                "a lease must last at least three renewals");
+  }
+  if (!worker.runtime_url.empty() && worker.size.millicores == 0)
+    map.Problem(YamlError::kMissingKey, "size", "cores of the VM");
+  map.Finish();
+  return worker;
+}
+
+std::vector<Endpoint> ReadSeeds(YamlMap* map) {
+  std::vector<Endpoint> seeds;
+  for (const std::string& text : map->Strings("seeds")) {
+    const auto endpoint = ParseEndpoint(text);
+    if (endpoint)
+      seeds.push_back(endpoint.value());
+    else
+      map->Problem(endpoint.error(), "seeds", "HOST:PORT is expected");
+  }
+  return seeds;
+}
+
+void CheckRole(const Settings& settings, YamlMap* map) {
+  if (settings.role == Role::kEntry && settings.platform.table_url.empty())
+    map->Problem(YamlError::kMissingKey, "platform",
+                 "an entry needs table_url");
+  if (settings.role == Role::kEntry)
+    return;
+  const bool has_worker = !settings.worker.runtime_url.empty();
+  if (settings.upstream.url.empty() && !has_worker) {
+    map->Problem(YamlError::kMissingKey, "upstream",
+                 "an agent needs an upstream, a worker or both");
+  }
+  if (has_worker && settings.platform.table_url.empty())
+    map->Problem(YamlError::kMissingKey, "platform",
+                 "a worker needs table_url");
+  if (settings.seeds.empty())
+    map->Problem(YamlError::kMissingKey, "seeds", "an agent needs an entry");
+}
+
+}  // namespace
+
+Result<Endpoint> ParseEndpoint(const std::string& text) {
+  const size_t colon = text.rfind(':');
+  int port = 0;
+  if (colon == std::string::npos || colon == 0 ||
+      !absl::SimpleAtoi(text.substr(colon + 1), &port) || port < 1 ||
+      port > kMaxPort) {
+    return YamlError::kBadValue;
+  }
+  return Endpoint{text.substr(0, colon), static_cast<uint16_t>(port)};
+}
+
+Result<Settings> ParseSettings(const std::string& text,
+                               const std::string& file,
+                               std::vector<YamlProblem>* problems) {
+  const size_t before = problems->size();
+  BOOST_OUTCOME_TRY(node, ParseYaml(text, file, problems));
+  YamlMap map(node, file, problems);
+  Settings settings;
+  settings.name = map.RequiredString("name");
+  settings.role = map.Choice("role", {"entry", "agent"}) == "agent"
+                      ? Role::kAgent
+                      : Role::kEntry;
+  settings.region = map.RequiredString("region");
+  settings.failure_domain = map.RequiredString("failure_domain");
+  settings.log = map.String("log", settings.log);
+  settings.charts = map.String("charts", settings.charts);
+  settings.listen = ReadListen(map.Map("listen"));
+  settings.seeds = ReadSeeds(&map);
+  settings.platform = ReadPlatform(map.Map("platform"));
+  settings.shards = map.Int("shards", settings.shards, 1, 64);
+  settings.drain_grace_ms =
+      map.Int("drain_grace_ms", settings.drain_grace_ms, 0, 600000);
+  settings.max_body_bytes =
+      map.Int("max_body_bytes", settings.max_body_bytes, 1024, kMaxBodyBytes);
+  settings.max_connections =
+      map.Int("max_connections", settings.max_connections, 1, 1 << 20);
+  settings.upstream = ReadUpstream(map.Map("upstream"));
+  settings.worker = ReadWorker(map.Map("worker"));
+  CheckRole(settings, &map);
+  map.Finish();
+  if (problems->size() > before)
+    return (*problems)[before].code;
+  return settings;
+}
+
+}  // namespace cuminjunction
--- /dev/null
+++ b/daemon/settings.h
@@ -0,0 +1,117 @@
+#ifndef DAEMON_SETTINGS_H_
+#define DAEMON_SETTINGS_H_
+
+// Settings of the daemon, read from a YAML file.
+//
+// Settings say who this process is and where it finds others; what the system
+// should run is in the operator's configuration document. Every key is checked;
+// docs/settings.md lists them.
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/error.h"
+#include "base/yaml.h"
+#include "config/document.h"
+
+namespace cuminjunction {
+
+enum class Role { kEntry, kAgent };
+
+// An IPv4 address and port.
+struct Endpoint {
+  std::string host;
+  uint16_t port = 0;
+
+  auto operator<=>(const Endpoint&) const = default;
+};
+
+// Reads "HOST:PORT". Fails with YamlError::kBadValue.
+Result<Endpoint> ParseEndpoint(const std::string& text);
+
+// Ports this process listens on. 0 lets the system choose where that makes
+// sense, which it does in tests.
+struct ListenSettings {
+  std::string host = "127.0.0.1";
+  // HTTP requests of callers (entry).
+  uint16_t request_port = 0;
+  // Administration API (entry), metrics and health (both roles).
+  uint16_t admin_port = 0;
+  // Membership, UDP.
+  uint16_t membership_port = 0;
+  // Frames of entries, TCP (agent).
+  uint16_t agent_port = 0;
+
+  auto operator<=>(const ListenSettings&) const = default;
+};
+
+// Addresses of the platform's services.
+struct PlatformSettings {
+  std::string table_url;
+  std::string objects_url;
+  // Time to wait for an answer, in milliseconds.
+  int64_t timeout_ms = 2000;
+
+  auto operator<=>(const PlatformSettings&) const = default;
+};
+
+// The upstream beside an agent.
+struct UpstreamSettings {
+  // Names of services' upstreams that it announces; empty without an upstream.
+  std::vector<std::string> announces;
+  std::string url;
+  std::string probe_path = "/healthz";
+  int64_t slots = 8;
+  int64_t connections = 64;
+
+  auto operator<=>(const UpstreamSettings&) const = default;
+};
+
+// The worker on an agent's VM.
+struct WorkerSettings {
+  // Address of the worker's runtime; empty without a worker.
+  std::string runtime_url;
+  std::string rack;
+  Size size;
+  // Length of the worker's lease and time between renewals, in seconds.
+  int64_t lease_s = 600;
+  int64_t renewal_s = 20;
+
+  auto operator<=>(const WorkerSettings&) const = default;
+};
+
+struct Settings {
+  std::string name;
+  Role role = Role::kEntry;
+  std::string region;
+  std::string failure_domain;
+  // "-" is standard output, else a file to append to.
+  std::string log = "-";
+  std::string charts = "charts";
+  ListenSettings listen;
+  // Membership addresses of some entries.
+  std::vector<Endpoint> seeds;
+  PlatformSettings platform;
+  // Front shards of an entry, each a thread.
+  int64_t shards = 2;
+  // Time that an entry stays up after it reports not ready, in milliseconds,
+  // so that the load balancer notices.
+  int64_t drain_grace_ms = 2000;
+  // Largest body of a request or answer, in bytes.
+  int64_t max_body_bytes = 8 * 1024 * 1024;
+  int64_t max_connections = 4096;
+  UpstreamSettings upstream;
+  WorkerSettings worker;
+
+  bool operator==(const Settings&) const = default;
+};
+
+// Reads settings. On failure every problem is in `problems`.
+Result<Settings> ParseSettings(const std::string& text,
+                               const std::string& file,
+                               std::vector<YamlProblem>* problems);
+
+}  // namespace cuminjunction
+
+#endif  // DAEMON_SETTINGS_H_
