--- /dev/null
+++ b/membership/entry_choice.h
@@ -0,0 +1,30 @@
+#ifndef MEMBERSHIP_ENTRY_CHOICE_H_
+#define MEMBERSHIP_ENTRY_CHOICE_H_
+
+// Which entries an agent heartbeats to.
+//
+// Each agent ranks the entries by a hash of both names, so that agents spread
+// evenly and the loss of an entry moves only its own agents. Entries of the
+// agent's region come first, and the second entry is taken from another
+// failure domain than the first if there is one in the region.
+
+#include <cstddef>
+#include <set>
+#include <vector>
+
+#include "membership/member.h"
+#include "membership/options.h"
+
+namespace cuminjunction {
+
+// The `count` best entries, or fewer if there are not as many. Entries whose
+// address is in `avoided` are taken only when there are no others.
+std::vector<EntryContact> ChooseEntries(
+    const Member& self,
+    const std::vector<EntryContact>& entries,
+    const std::set<UdpAddress>& avoided,
+    size_t count);
+
+}  // namespace cuminjunction
+
+#endif  // MEMBERSHIP_ENTRY_CHOICE_H_
--- /dev/null
+++ b/membership/testing/view_test.cc
@@ -0,0 +1,288 @@
+#include "membership/view.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <random>
+
+#include "membership/testing/fleet.h"
+
+namespace cuminjunction {
+namespace {
+
+// Number of reports of the entry that the member entered the state.
+int64_t CountReports(const Fleet& fleet,
+                     const std::string& entry,
+                     const std::string& member,
+                     MemberState state) {
+  const auto& log = fleet.changes.at(entry);
+  return std::count_if(log.begin(), log.end(), [&](const auto& change) {
+    return change.member.name == member && change.member.state == state;
+  });
+}
+
+// Guards against entries that see only the agents that heartbeat to them.
+TEST(View, EveryEntryLearnsEveryMember) {
+  Fleet fleet = TwoRegions();
+  for (const std::string entry : {"erie-1", "erie-2", "huron-1", "huron-2"}) {
+    EXPECT_EQ(fleet.entries.at(entry).view.Members().size(), 12U);
+    EXPECT_EQ(fleet.entries.at(entry).view.EntryContacts().size(), 4U);
+    for (const auto& [agent, state] : fleet.agents)
+      EXPECT_EQ(fleet.StateAt(entry, agent), MemberState::kAlive);
+  }
+}
+
+// Guards against a paused process being given up: its late heartbeat refutes
+// the suspicion at every entry, without a death in between.
+TEST(View, LateHeartbeatRefutesSuspicion) {
+  Fleet fleet = TwoRegions();
+  fleet.agents["erie-x"].is_silent = true;
+  fleet.Run(9);
+  EXPECT_EQ(fleet.StateAt("erie-1", "erie-x"), MemberState::kSuspect);
+  EXPECT_EQ(fleet.StateAt("huron-2", "erie-x"), MemberState::kSuspect);
+  fleet.agents["erie-x"].is_silent = false;
+  fleet.Run(4);
+  for (const std::string entry : {"erie-1", "erie-2", "huron-1", "huron-2"}) {
+    EXPECT_EQ(fleet.StateAt(entry, "erie-x"), MemberState::kAlive);
+    EXPECT_EQ(CountReports(fleet, entry, "erie-x", MemberState::kDead), 0);
+  }
+}
+
+// Guards against a dead member staying in the list, and against a member that
+// was paused for longer than that never coming back.
+TEST(View, SilenceIsDeathUntilRefuted) {
+  Fleet fleet = TwoRegions();
+  fleet.agents["erie-x"].is_silent = true;
+  fleet.Run(20);
+  EXPECT_EQ(fleet.StateAt("erie-1", "erie-x"), MemberState::kDead);
+  EXPECT_EQ(fleet.StateAt("huron-2", "erie-x"), MemberState::kDead);
+  fleet.agents["erie-x"].is_silent = false;
+  fleet.Run(4);
+  EXPECT_EQ(fleet.StateAt("huron-2", "erie-x"), MemberState::kAlive);
+}
+
+// Guards against one lossy path killing a member: another entry still hears
+// it and refutes the suspicion.
+TEST(View, OtherEntryRefutesSuspicion) {
+  Fleet fleet = TwoRegions();
+  fleet.is_cut = [](const Member& from, const Member& to) {
+    return from.name == "erie-x" && to.name == "erie-1";
+  };
+  fleet.Run(60);
+  for (const std::string entry : {"erie-1", "erie-2", "huron-1", "huron-2"}) {
+    EXPECT_EQ(fleet.StateAt(entry, "erie-x"), MemberState::kAlive);
+    EXPECT_EQ(CountReports(fleet, entry, "erie-x", MemberState::kDead), 0);
+  }
+}
+
+// Guards against an entry that was paused suspecting everybody it did not
+// hear meanwhile.
+TEST(View, OwnPauseCausesNoSuspicion) {
+  Fleet fleet = TwoRegions();
+  fleet.entries.at("erie-1").is_paused = true;
+  fleet.Run(11);
+  fleet.entries.at("erie-1").is_paused = false;
+  fleet.changes["erie-1"].clear();
+  fleet.Run(20);
+  for (const MemberChange& change : fleet.changes["erie-1"]) {
+    EXPECT_EQ(change.member.state, MemberState::kAlive) << change.member.name;
+  }
+}
+
+// Guards against taking a cut between regions for the death of a region, on
+// both sides, and against members staying cut off after it.
+TEST(View, CutRegionIsUnreachableNotDead) {
+  Fleet fleet = TwoRegions();
+  fleet.is_cut = [](const Member& from, const Member& to) {
+    return from.region != to.region;
+  };
+  fleet.Run(120);
+  for (const std::string member : {"huron-1", "huron-w", "huron-z"})
+    EXPECT_EQ(fleet.StateAt("erie-1", member), MemberState::kUnreachable);
+  EXPECT_EQ(fleet.StateAt("huron-2", "erie-x"), MemberState::kUnreachable);
+  EXPECT_EQ(fleet.StateAt("huron-2", "huron-x"), MemberState::kAlive);
+  fleet.is_cut = [](const Member&, const Member&) { return false; };
+  fleet.Run(6);
+  for (const auto& [entry, unused] : fleet.entries) {
+    for (const Member& member : fleet.entries.at(entry).view.Members())
+      EXPECT_EQ(member.state, MemberState::kAlive) << member.name;
+    for (const MemberChange& change : fleet.changes[entry])
+      EXPECT_NE(change.member.state, MemberState::kDead);
+  }
+}
+
+// Guards against taking single deaths for a cut: an entry and an agent of the
+// other region die while the rest of it is heard.
+TEST(View, SingleDeathInOtherRegionIsDeath) {
+  Fleet fleet = TwoRegions();
+  fleet.entries.at("huron-1").is_paused = true;
+  fleet.agents["huron-x"].is_silent = true;
+  fleet.Run(20);
+  EXPECT_EQ(fleet.StateAt("erie-1", "huron-1"), MemberState::kDead);
+  EXPECT_EQ(fleet.StateAt("erie-1", "huron-x"), MemberState::kDead);
+  EXPECT_EQ(fleet.StateAt("erie-1", "huron-y"), MemberState::kAlive);
+}
+
+// Guards against a restarted process being confused with its predecessor:
+// under the same name, and under another name at the same address.
+TEST(View, RestartReplacesPredecessor) {
+  Fleet fleet = TwoRegions();
+  fleet.agents["erie-x"].member.incarnation = 2;
+  fleet.agents["erie-x"].member.services = {"orders"};
+  fleet.agents["erie-x"].sequence = 0;
+  fleet.agents["erie-new"] = fleet.agents["erie-y"];
+  fleet.agents["erie-new"].member.name = "erie-new";
+  fleet.agents["erie-new"].member.incarnation = 2;
+  fleet.agents["erie-y"].is_silent = true;
+  fleet.Run(4);
+  for (const std::string entry : {"erie-1", "huron-2"}) {
+    const auto full = fleet.entries.at(entry).view.FindFull(HashName("erie-x"));
+    ASSERT_TRUE(full.has_value());
+    EXPECT_EQ(full->member.incarnation, 2U);
+    EXPECT_EQ(full->member.services, std::vector<std::string>{"orders"});
+    EXPECT_EQ(fleet.StateAt(entry, "erie-new"), MemberState::kAlive);
+    EXPECT_EQ(fleet.StateAt(entry, "erie-y"), MemberState::kLeft);
+  }
+  // A heartbeat of the predecessor that arrives late changes nothing.
+  View& view = fleet.entries.at("erie-1").view;
+  Member old = fleet.agents["erie-x"].member;
+  old.incarnation = 1;
+  const HeartbeatOutcome outcome =
+      view.HearHeartbeat(MakeHeartbeat(old, 1000), fleet.now);
+  EXPECT_EQ(outcome.higher_incarnation, 2U);
+  EXPECT_EQ(view.FindFull(HashName("erie-x"))->member.incarnation, 2U);
+}
+
+// Guards against an entry that is replaced staying in the list that agents
+// choose from, and against its replacement not learning the fleet.
+TEST(View, ReplacedEntryLearnsTheFleet) {
+  Fleet fleet = TwoRegions();
+  fleet.entries.at("erie-2").is_paused = true;
+  fleet.AddEntry("erie-3", "erie");
+  Digest hello;
+  View& fresh = fleet.entries.at("erie-3").view;
+  hello.sender = fresh.NextSelfBrief();
+  hello.records = {*fresh.FindFull(hello.sender.name_hash)};
+  fleet.Deliver(&fleet.entries.at("huron-1"), hello);
+  fleet.Run(20);
+  for (const auto& [agent, unused] : fleet.agents)
+    EXPECT_EQ(fleet.StateAt("erie-3", agent), MemberState::kAlive) << agent;
+  for (const std::string entry : {"erie-1", "erie-3", "huron-1", "huron-2"})
+    EXPECT_EQ(fleet.entries.at(entry).view.EntryContacts().size(), 4U);
+}
+
+// Guards against reordered and repeated datagrams: an old one neither brings
+// back an earlier state nor counts as life.
+TEST(View, ReorderedAndRepeatedHeartbeatsChangeNothing) {
+  std::mt19937 random(1);
+  for (int trial = 0; trial < 50; ++trial) {
+    View view(MemberChart(), ViewOptions{},
+              MakeMember("entry", Role::kEntry, "erie", 1));
+    Member agent = MakeMember("agent", Role::kAgent, "erie", 2);
+    absl::Time now = absl::UnixEpoch();
+    std::vector<Heartbeat> sent;
+    for (uint64_t sequence = 1; sequence <= 8; ++sequence) {
+      agent.state =
+          sequence % 3 == 0 ? MemberState::kUpstreamDown : MemberState::kAlive;
+      agent.config_version = sequence;
+      sent.push_back(MakeHeartbeat(agent, sequence));
+    }
+    std::vector<Heartbeat> received = sent;
+    received.insert(received.end(), sent.begin(), sent.end());
+    std::shuffle(received.begin(), received.end(), random);
+    for (const Heartbeat& heartbeat : received)
+      view.HearHeartbeat(heartbeat, now);
+    const auto full = view.FindFull(HashName("agent"));
+    EXPECT_EQ(full->sequence, 8U);
+    EXPECT_EQ(full->member.state, sent.back().brief.state);
+    EXPECT_EQ(full->member.config_version, 8U);
+    // Repetitions alone don't keep the member from being suspected.
+    for (int step = 0; step < 40; ++step) {
+      now += absl::Milliseconds(250);
+      view.Tick(now);
+      view.HearHeartbeat(sent[step % sent.size()], now);
+    }
+    EXPECT_EQ(view.FindFull(HashName("agent"))->member.state,
+              MemberState::kSuspect);
+  }
+}
+
+// Guards against a leaving member getting work again through an old digest or
+// a heartbeat that was overtaken.
+TEST(View, LeavingIsNeverUndone) {
+  Fleet fleet = TwoRegions();
+  Fleet::Agent& agent = fleet.agents["erie-x"];
+  Member earlier = agent.member;
+  agent.member.state = MemberState::kLeaving;
+  // No regular digest is awaited: the change is told by itself.
+  fleet.Run(3);
+  for (const auto& [entry, unused] : fleet.entries)
+    EXPECT_EQ(fleet.StateAt(entry, "erie-x"), MemberState::kLeaving);
+  // It may drain for long.
+  fleet.Run(300);
+  EXPECT_EQ(fleet.StateAt("huron-1", "erie-x"), MemberState::kLeaving);
+  Digest old;
+  old.sender = fleet.entries.at("huron-1").view.NextSelfBrief();
+  old.records = {{earlier, 1000}};
+  for (const MemberState state :
+       {MemberState::kAlive, MemberState::kUpstreamDown, MemberState::kSuspect,
+        MemberState::kDead}) {
+    earlier.state = state;
+    old.briefs.push_back(MakeBrief(earlier, 2000));
+  }
+  View& view = fleet.entries.at("erie-1").view;
+  view.HearDigest(old, fleet.now);
+  earlier.state = MemberState::kAlive;
+  view.HearHeartbeat(MakeHeartbeat(earlier, 3000), fleet.now);
+  EXPECT_EQ(fleet.StateAt("erie-1", "erie-x"), MemberState::kLeaving);
+  // It has left when it falls silent.
+  agent.is_silent = true;
+  fleet.Run(10);
+  EXPECT_EQ(fleet.StateAt("huron-1", "erie-x"), MemberState::kLeft);
+}
+
+// Guards against a table that grows with every name ever announced.
+TEST(View, TableIsBounded) {
+  ViewOptions options;
+  options.max_members = 10;
+  View view(MemberChart(), options,
+            MakeMember("entry", Role::kEntry, "erie", 1));
+  for (uint16_t i = 0; i < 15; ++i) {
+    Member agent = MakeMember(StrCat("agent-", i), Role::kAgent, "erie",
+                              static_cast<uint16_t>(100 + i));
+    // The first three have left and make room.
+    agent.state = i < 3 ? MemberState::kLeft : MemberState::kAlive;
+    view.HearHeartbeat(MakeHeartbeat(agent, 1), absl::UnixEpoch());
+  }
+  EXPECT_EQ(view.Records().size(), 10U);
+  EXPECT_EQ(view.RefusedMembers(), 2U);
+}
+
+// Guards against a member that no entry vouches for any more staying alive
+// for ever at the entries that know it from digests.
+TEST(View, MemberWithoutWitnessExpires) {
+  Fleet fleet = TwoRegions();
+  fleet.agents["erie-x"].is_silent = true;
+  fleet.entries.at("erie-1").is_paused = true;
+  fleet.entries.at("erie-2").is_paused = true;
+  for (const std::string agent : {"erie-w", "erie-y", "erie-z"})
+    fleet.agents[agent].contacts = {"huron-1", "huron-2"};
+  fleet.Run(400);
+  EXPECT_EQ(fleet.StateAt("huron-1", "erie-x"), MemberState::kDead);
+  EXPECT_EQ(fleet.StateAt("huron-2", "erie-1"), MemberState::kDead);
+  EXPECT_EQ(fleet.StateAt("huron-2", "erie-w"), MemberState::kAlive);
+}
+
+// Guards the baseline of the bench against losing members between regions.
+TEST(View, NeighbourhoodsRelayBetweenRegions) {
+  Fleet fleet = TwoRegions(Topology::kNeighbourhoods);
+  fleet.agents["erie-x"].member.state = MemberState::kLeaving;
+  fleet.agents["erie-y"].is_silent = true;
+  fleet.Run(400);
+  EXPECT_EQ(fleet.StateAt("huron-2", "erie-x"), MemberState::kLeaving);
+  EXPECT_EQ(fleet.StateAt("huron-2", "erie-y"), MemberState::kDead);
+  EXPECT_EQ(fleet.StateAt("huron-2", "erie-z"), MemberState::kAlive);
+}
+
+}  // namespace
+}  // namespace cuminjunction
