--- a/membership/agent_heartbeat.h
+++ b/membership/agent_heartbeat.h
@@ -108,7 +108,6 @@
   void SendDeparture();
   void FinishDeparture();
 
-  EventThread* thread;
   AgentOptions options;
   AgentListener listener;
   Member self;
--- a/membership/entry_choice.cc
+++ b/membership/entry_choice.cc
@@ -1,9 +1,9 @@
 #include "membership/entry_choice.h"
 
 #include <algorithm>
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 #include "base/strings.h"
 
@@ -11,15 +11,9 @@
 
 namespace {
 
-// Lower is better.
-struct Rank {
-  bool is_avoided = false;
-  bool is_other_region = false;
-  bool is_same_domain = false;
-  uint64_t hash = 0;
-
-  auto operator<=>(const Rank&) const = default;
-};
+// Whether the entry is avoided, of another region, of a failure domain that is
+// taken, and the hash. Lower is better.
+using Rank = std::tuple<bool, bool, bool, uint64_t>;
 
 // FNV-1a barely spreads its last bytes over the high bits, by which ranks are
 // compared; the finalizer of MurmurHash3 does.
@@ -35,13 +29,11 @@
                const EntryContact& entry,
                const std::set<UdpAddress>& avoided,
                const std::set<std::string>& taken_domains) {
-  Rank rank;
-  rank.is_avoided = avoided.contains({entry.host, entry.port});
-  rank.is_other_region = entry.region != self.region;
-  rank.is_same_domain = taken_domains.contains(entry.failure_domain);
-  rank.hash = Mix(HashName(
+  const uint64_t hash = Mix(HashName(
       StrCat(self.name, "|", entry.name, "|", entry.host, ":", entry.port)));
-  return rank;
+  return {avoided.contains({entry.host, entry.port}),
+          entry.region != self.region,
+          taken_domains.contains(entry.failure_domain), hash};
 }
 
 }  // namespace
--- a/membership/entry_gossip.cc
+++ b/membership/entry_gossip.cc
@@ -18,6 +18,7 @@
 
 std::vector<std::string> EncodeAll(const std::vector<Digest>& digests) {
   std::vector<std::string> out;
+  out.reserve(digests.size());
   for (const Digest& digest : digests)
     out.push_back(EncodeMessage(digest));
   return out;
@@ -30,14 +31,12 @@
                          const EntryOptions& options,
                          std::vector<EntryListener> listeners,
                          Metrics* metrics)
-    : thread(thread),
-      options(options),
+    : options(options),
       listeners(std::move(listeners)),
       view(std::move(chart), options.view, WithIncarnation(options.self)),
       queue(options),
       socket(&thread->Context(), metrics),
       tick_timer(thread->Context()),
-      metrics(metrics),
       region_bytes(metrics->GetCounter("membership_other_region_bytes_total",
                                        "direction=\"sent\"")) {}
 
--- a/membership/entry_gossip.h
+++ b/membership/entry_gossip.h
@@ -93,7 +93,6 @@
   void AnnounceDeparture(MemberState state);
   void Send(const std::string& bytes, const UdpAddress& to, bool is_far);
 
-  EventThread* thread;
   EntryOptions options;
   std::vector<EntryListener> listeners;
   View view;
@@ -107,7 +106,6 @@
   // Kept between changes of the table, since each heartbeat needs the hash.
   std::vector<EntryContact> contacts;
   uint32_t contacts_hash = 0;
-  Metrics* metrics;
   Counter& region_bytes;
 };
 
--- a/membership/member.h
+++ b/membership/member.h
@@ -91,7 +91,7 @@
   std::string failure_domain;
   std::string region;
 
-  auto operator<=>(const EntryContact&) const = default;
+  bool operator==(const EntryContact&) const = default;
 
   template <class Archive>
   void serialize(Archive& archive) {
--- a/membership/message.h
+++ b/membership/message.h
@@ -51,7 +51,7 @@
   MemberState state = MemberState::kAlive;
   uint64_t config_version = 0;
 
-  auto operator<=>(const Brief&) const = default;
+  bool operator==(const Brief&) const = default;
 
   // The hash takes 8 bytes as it is, since a variable-length integer would
   // take 10.
@@ -71,7 +71,7 @@
   // Sent until the entry acknowledges a heartbeat without asking for it.
   std::optional<Member> announcement;
 
-  auto operator<=>(const Heartbeat&) const = default;
+  bool operator==(const Heartbeat&) const = default;
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -94,7 +94,7 @@
   // Present when its hash differs from the one in the heartbeat.
   std::optional<std::vector<EntryContact>> entries;
 
-  auto operator<=>(const Acknowledgement&) const = default;
+  bool operator==(const Acknowledgement&) const = default;
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -108,7 +108,7 @@
   Member member;
   uint64_t sequence = 0;
 
-  auto operator<=>(const FullRecord&) const = default;
+  bool operator==(const FullRecord&) const = default;
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -126,7 +126,7 @@
   // Asks for a brief of each member that the receiver vouches for.
   bool wants_all = false;
 
-  auto operator<=>(const Digest&) const = default;
+  bool operator==(const Digest&) const = default;
 
   template <class Archive>
   void serialize(Archive& archive) {
--- a/membership/options.h
+++ b/membership/options.h
@@ -4,10 +4,10 @@
 // Options of the membership tasks. All times are in milliseconds. The defaults
 // are those of docs/membership.md, which derives them from the budget per node.
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "membership/member.h"
@@ -19,7 +19,10 @@
   std::string host;
   uint16_t port = 0;
 
-  auto operator<=>(const UdpAddress&) const = default;
+  bool operator==(const UdpAddress&) const = default;
+  bool operator<(const UdpAddress& other) const {
+    return std::tie(this->host, this->port) < std::tie(other.host, other.port);
+  }
 };
 
 enum class Topology {
--- a/membership/testing/fleet.h
+++ b/membership/testing/fleet.h
@@ -6,6 +6,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <optional>
@@ -165,7 +166,9 @@
       const bool is_peer =
           this->steps < 32 ||
           std::any_of(peers.begin(), peers.end(),
-                      [&](const Member& peer) { return peer.name == name; });
+                      [&other = other](const Member& peer) {
+                        return peer.name == other.view.Self().name;
+                      });
       if (&other == entry || other.is_paused || !is_peer ||
           this->is_cut(entry->view.Self(), other.view.Self()))
         continue;
@@ -188,7 +191,7 @@
     fleet.AddEntry(region + "-1", region);
     fleet.AddEntry(region + "-2", region);
     for (const std::string agent : {"w", "x", "y", "z"})
-      fleet.AddAgent(region + "-" + agent, region,
+      fleet.AddAgent(StrCat(region, "-", agent), region,
                      {region + "-1", region + "-2"});
   }
   fleet.Run(20);
--- a/membership/view.cc
+++ b/membership/view.cc
@@ -447,7 +447,10 @@
         !HasEnded(member.state))
       out.push_back(MakeContact(member));
   }
-  std::sort(out.begin(), out.end());
+  std::sort(out.begin(), out.end(),
+            [](const EntryContact& a, const EntryContact& b) {
+              return a.name < b.name;
+            });
   return out;
 }
 
--- a/membership/view.h
+++ b/membership/view.h
@@ -62,7 +62,7 @@
   // and so has to tell the other entries.
   bool first_hand = false;
 
-  auto operator<=>(const MemberChange&) const = default;
+  bool operator==(const MemberChange&) const = default;
 };
 
 struct HeartbeatOutcome {
@@ -70,7 +70,7 @@
   // An incarnation that the sender has to exceed, or 0.
   uint64_t higher_incarnation = 0;
 
-  auto operator<=>(const HeartbeatOutcome&) const = default;
+  bool operator==(const HeartbeatOutcome&) const = default;
 };
 
 class View {
