--- a/base/http_client.cc
+++ b/base/http_client.cc
@@ -111,6 +111,11 @@
     curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE,
                      static_cast<long>(request.body.size()));
   }
+  // libcurl sends a request again by itself when a kept connection closes
+  // without an answer. A request with an effect would then run twice, so it
+  // gets a connection of its own.
+  if (request.method != "GET")
+    curl_easy_setopt(curl, CURLOPT_FRESH_CONNECT, 1L);
   curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, request.method.c_str());
   const CURLcode code = curl_easy_perform(curl);
   curl_slist_free_all(headers);
--- a/base/http_client.h
+++ b/base/http_client.h
@@ -8,7 +8,8 @@
 //       client.Send("http://127.0.0.1:8080", {"GET", "/v1/status"},
 //                   clock.Now() + absl::Seconds(5));
 //
-// Connections are kept for the next call. An object belongs to one thread.
+// Connections are kept for the next GET; every other request gets a new one and
+// is sent at most once. An object belongs to one thread.
 
 #include <memory>
 #include <string>
--- a/base/http_server.cc
+++ b/base/http_server.cc
@@ -49,6 +49,8 @@
 }
 
 MHD_Result Respond(MHD_Connection* connection, const HttpResponse& response) {
+  if (response.status == 0)
+    return MHD_NO;
   MHD_Response* reply = MHD_create_response_from_buffer(
       response.body.size(), const_cast<char*>(response.body.data()),
       MHD_RESPMEM_MUST_COPY);
@@ -166,14 +168,18 @@
   address.sin_port = htons(options.port);
   if (inet_pton(AF_INET, options.host.c_str(), &address.sin_addr) != 1)
     return HttpError::kBadAddress;
-  unsigned flags = MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_EPOLL;
+  const bool has_pool = options.threads > 0;
+  const unsigned flags =
+      MHD_USE_INTERNAL_POLLING_THREAD |
+      (has_pool ? MHD_USE_EPOLL : MHD_USE_THREAD_PER_CONNECTION | MHD_USE_POLL);
   // The server's buffer holds the header block, so it must exceed the limit
   // for the limit's own answer to be given.
   const size_t memory = 2 * options.max_header_bytes;
   impl->daemon = MHD_start_daemon(
       flags, options.port, nullptr, nullptr, &Impl::OnRequest, impl.get(),
       MHD_OPTION_SOCK_ADDR, reinterpret_cast<sockaddr*>(&address),
-      MHD_OPTION_THREAD_POOL_SIZE, static_cast<unsigned>(options.threads),
+      MHD_OPTION_THREAD_POOL_SIZE,
+      static_cast<unsigned>(has_pool ? options.threads : 0),
       MHD_OPTION_CONNECTION_LIMIT,
       static_cast<unsigned>(options.max_connections),
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, memory, MHD_OPTION_CONNECTION_TIMEOUT,
--- a/base/http_server.h
+++ b/base/http_server.h
@@ -55,6 +55,8 @@
 };
 
 struct HttpResponse {
+  // 0 closes the connection without an answer, which stand-ins use for lost
+  // replies.
   int status = 200;
   std::string content_type = "application/json";
   std::string body;
@@ -67,6 +69,8 @@
   std::string host = "127.0.0.1";
   // 0 lets the system choose.
   uint16_t port = 0;
+  // Size of the pool; 0 gives each connection a thread of its own, for handlers
+  // that wait.
   int threads = 2;
   size_t max_body_bytes = 4 * 1024 * 1024;
   size_t max_header_bytes = 32 * 1024;
--- a/base/testing/http_test.cc
+++ b/base/testing/http_test.cc
@@ -1,7 +1,8 @@
 #include <gtest/gtest.h>
 
-#include "absl/time/clock.h"
+#include <atomic>
 
+#include "absl/time/clock.h"
 #include "base/http_client.h"
 #include "base/http_server.h"
 
@@ -14,15 +15,19 @@
     HttpServerOptions options;
     options.max_body_bytes = 1000;
     options.max_header_bytes = 2000;
-    auto started = HttpServer::Start(options, [](const HttpRequest& request) {
-      const auto found = request.query.find("q");
-      return HttpResponse{
-          201,
-          "text/plain",
-          request.method + request.path + request.body +
-              (found == request.query.end() ? "" : found->second),
-          {}};
-    });
+    auto started =
+        HttpServer::Start(options, [this](const HttpRequest& request) {
+          ++this->requests;
+          if (request.path == "/drop")
+            return HttpResponse{0, "", "", {}};
+          const auto found = request.query.find("q");
+          return HttpResponse{
+              201,
+              "text/plain",
+              request.method + request.path + request.body +
+                  (found == request.query.end() ? "" : found->second),
+              {}};
+        });
     ASSERT_TRUE(started);
     this->server = std::move(started.value());
     this->url = "http://127.0.0.1:" + std::to_string(this->server->Port());
@@ -36,6 +41,7 @@
   std::unique_ptr<HttpServer> server;
   HttpClient client;
   std::string url;
+  std::atomic<int> requests = 0;
 };
 
 TEST_F(HttpTest, CarriesMethodPathQueryAndBody) {
@@ -57,6 +63,15 @@
   EXPECT_EQ(this->Send({"GET", "/", {}, {}, ""}).value().status, 201);
 }
 
+// Guards against a request that runs twice: libcurl repeats it when the kept
+// connection of the GET before closes without an answer.
+TEST_F(HttpTest, UnansweredWriteIsSentOnce) {
+  ASSERT_TRUE(this->Send({"GET", "/", {}, {}, ""}));
+  EXPECT_EQ(this->Send({"POST", "/drop", {}, {}, "body"}).error(),
+            HttpError::kNoAnswer);
+  EXPECT_EQ(this->requests, 2);
+}
+
 // Guards against calling a request sent that never was.
 TEST_F(HttpTest, RefusedConnectionIsNotSent) {
   const uint16_t port = this->server->Port();
