--- a/base/testing/yaml_test.cc
+++ b/base/testing/yaml_test.cc
@@ -35,6 +35,18 @@
   EXPECT_EQ(problems[4].code, YamlError::kMissingKey);
 }
 
+// Guards against an exception of yaml-cpp for a mapping that is absent.
+TEST(YamlTest, AbsentMappingIsEmpty) {
+  std::vector<YamlProblem> problems;
+  const auto node = ParseYaml("a: 1\n", "s.yaml", &problems);
+  YamlMap map(node.value(), "s.yaml", &problems);
+  YamlMap absent = map.Map("b");
+  EXPECT_EQ(absent.Int("c", 3, 0, 10), 3);
+  EXPECT_FALSE(absent.Has("c"));
+  absent.Finish();
+  EXPECT_TRUE(problems.empty());
+}
+
 TEST(YamlTest, SyntaxErrorIsAProblemWithALine) {
   std::vector<YamlProblem> problems;
   EXPECT_FALSE(ParseYaml("a: [1\nb: }", "s.yaml", &problems));
--- a/base/yaml.cc
+++ b/base/yaml.cc
@@ -95,13 +95,17 @@
 YamlMap::YamlMap(const YAML::Node& node,
                  std::string file,
                  std::vector<YamlProblem>* problems)
-    : node(node), file(std::move(file)), problems(problems) {
+    // An undefined node throws on any use.
+    : node(node.IsDefined() ? node : YAML::Node()),
+      file(std::move(file)),
+      problems(problems) {
   if (!node.IsDefined() || node.IsNull())
     return;
   if (!node.IsMap()) {
     this->problems->push_back(
         {YamlError::kNotAMap, this->file, LineOf(node), "", ""});
-    this->node = YAML::Node();
+    // An assignment would change the node in the text's tree.
+    this->node.reset(YAML::Node());
     return;
   }
   std::set<std::string> seen;
