--- a/config/testing/parse_test.cc
+++ b/config/testing/parse_test.cc
@@ -48,6 +48,7 @@
   std::vector<YamlProblem> problems;
   EXPECT_FALSE(Parse(text, &problems, fleet));
   std::vector<std::string> out;
+  out.reserve(problems.size());
   for (const YamlProblem& problem : problems)
     out.push_back(ToString(problem));
   return out;
