Add the fair queue, the upstream chooser and the budgets

The request half needs decisions that hold under both floods and with slow upstreams. FairQueue serves classes of client account and urgency with floors and refuses what would miss its deadline; UpstreamChooser compares random candidates by expected latency, near ones first, with outliers on probation; the budgets bound retries, hedges and the link between regions.

--- /dev/null
+++ b/request/baseline.h
@@ -0,0 +1,92 @@
+#ifndef REQUEST_BASELINE_H_
+#define REQUEST_BASELINE_H_
+
+// Simple policies behind the same concepts as FairQueue and UpstreamChooser.
+// Benches run them side by side with the real ones.
+
+#include <array>
+#include <cstdint>
+#include <list>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/random/bit_gen_ref.h"
+#include "absl/time/time.h"
+#include "base/error.h"
+#include "request/chooser.h"
+#include "request/fair_queue.h"
+#include "request/types.h"
+
+namespace cuminjunction {
+
+// Queue with one list for each of `Lanes` urgencies, served in order; with one
+// lane, all requests are served in the order of their arrival. Refuses only for
+// lack of room.
+template <int Lanes>
+class LaneQueue {
+ public:
+  explicit LaneQueue(QueueSettings settings) : settings(settings) {}
+
+  Refusal Admit(const RequestClass& request_class,
+                double cost,
+                absl::Time deadline,
+                absl::Time now);
+  void Push(AttemptId id,
+            const RequestClass& request_class,
+            double cost,
+            absl::Time deadline,
+            absl::Time now);
+  std::optional<QueueExit> Pop(absl::Time now);
+  bool Remove(AttemptId id);
+  void Finished(AttemptId id, absl::Duration service_time, absl::Time now);
+  AgentLoad Load() const;
+
+ private:
+  struct Item {
+    AttemptId id;
+    absl::Time deadline;
+  };
+
+  QueueSettings settings;
+  std::array<std::list<Item>, Lanes> lanes;
+  uint32_t queued = 0;
+  uint32_t running = 0;
+  double service_us = 0;
+};
+
+// First in, first out.
+using FifoQueue = LaneQueue<1>;
+// The most urgent first, whoever sends it.
+using StrictPriorityQueue = LaneQueue<kUrgencyCount>;
+
+// Chooses any ready upstream of the service with the same probability.
+class RandomChooser {
+ public:
+  void SetUpstreams(const std::vector<UpstreamInfo>& upstreams, absl::Time now);
+  Result<UpstreamChoice> Choose(std::string_view service,
+                                const RequestClass& request_class,
+                                absl::Time now,
+                                const std::vector<std::string>& excluded,
+                                absl::BitGenRef random,
+                                int64_t bytes = 0);
+  void OnSent(std::string_view) {}
+  void OnAnswer(std::string_view,
+                const AgentLoad&,
+                absl::Duration,
+                absl::Time) {}
+  void OnRefused(std::string_view, Refusal, const AgentLoad&, absl::Time) {}
+  void OnFailure(std::string_view, absl::Time) {}
+  void OnAbandoned(std::string_view, absl::Duration) {}
+  void OnLeaving(std::string_view) {}
+
+ private:
+  std::map<std::string, std::vector<UpstreamInfo>, std::less<>> by_service;
+};
+
+}  // namespace cuminjunction
+
+#endif  // REQUEST_BASELINE_H_
--- /dev/null
+++ b/request/chooser.h
@@ -0,0 +1,307 @@
+#ifndef REQUEST_CHOOSER_H_
+#define REQUEST_CHOOSER_H_
+
+// Choice of an upstream at the entry.
+//
+//   UpstreamChooser chooser({.failure_domain = "erie-a", .region = "erie"},
+//                           &link);
+//   chooser.SetUpstreams(known, now);          // on each membership change
+//   Result<UpstreamChoice> choice =
+//       chooser.Choose("slot-check", request_class, now, {}, bit_gen);
+//   if (!choice) ...                           // typed reason: ChooseError
+//   chooser.OnSent(choice.value().name);
+//   chooser.OnAnswer(choice.value().name, load, latency, now);
+//
+// Each attempt that was announced with OnSent() ends with exactly one of
+// OnAnswer(), OnRefused(), OnFailure() and OnAbandoned().
+//
+// Two random upstreams of the same failure domain are compared by expected
+// latency: decayed latency, and the wait behind the requests that their agents
+// reported and that this entry has sent since. When the better one is busy,
+// others of the same region join the comparison at the cost of their round
+// trip, then other regions if the link budget allows. Entries decide
+// independently; comparing a few random candidates, and not all, keeps them
+// from sending to the same upstream at the same time.
+//
+// An upstream whose latency or failures are far from those of its peers is put
+// on probation: it receives only a small share of requests as probes, the least
+// urgent ones where there are any, until several in a row go well.
+
+#include <array>
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/random/bit_gen_ref.h"
+#include "absl/time/time.h"
+#include "base/error.h"
+#include "request/budget.h"
+#include "request/types.h"
+
+namespace cuminjunction {
+
+// What membership knows about an upstream.
+enum class UpstreamState : uint8_t {
+  kReady = 0,
+  // Silent for a while; used only when no upstream is ready.
+  kSuspect = 1,
+  // Behind a cut link; used only when no upstream is ready.
+  kUnreachable = 2,
+  kLeaving = 3,
+  kDown = 4,
+};
+
+struct UpstreamInfo {
+  std::string name;
+  // Address of its agent.
+  std::string host;
+  uint16_t port = 0;
+  std::string failure_domain;
+  std::string region;
+  std::vector<std::string> services;
+  UpstreamState state = UpstreamState::kReady;
+  uint64_t incarnation = 0;
+
+  auto operator<=>(const UpstreamInfo&) const = default;
+};
+
+// Why no upstream was chosen. Nothing was sent, so the request was not run.
+enum class ChooseError {
+  // No upstream has announced the service.
+  kUnknownService = 1,
+  // All upstreams of the service are leaving or down.
+  kNoneReady,
+  // All upstreams that are ready were excluded by the caller.
+  kAllExcluded,
+  // Only upstreams of another region are left, and the link has no room.
+  kLinkBusy,
+};
+
+template <>
+struct ErrorTraits<ChooseError> {
+  static constexpr const char* kCategory = "choose";
+  static std::string_view Message(ChooseError error);
+};
+
+// Where an upstream is as seen from the entry.
+enum class Distance : uint8_t {
+  kSameFailureDomain = 0,
+  kSameRegion = 1,
+  kOtherRegion = 2,
+};
+
+inline constexpr int kDistanceCount = 3;
+
+// A compared upstream, for the log line of the decision.
+struct Candidate {
+  std::string name;
+  // Expected latency in microseconds, with the round trip.
+  int64_t estimate_us = 0;
+  uint32_t outstanding = 0;
+
+  bool operator==(const Candidate&) const = default;
+};
+
+struct UpstreamChoice {
+  std::string name;
+  std::string host;
+  uint16_t port = 0;
+  uint64_t incarnation = 0;
+  Distance distance = Distance::kSameFailureDomain;
+  // The upstream is on probation and this request probes it.
+  bool probe = false;
+  std::vector<Candidate> candidates;
+};
+
+struct ChooserSettings {
+  // Location of the entry.
+  std::string failure_domain;
+  std::string region;
+  // Round trips between failure domains of a region, and between regions.
+  int64_t domain_round_trip_us = 1000;
+  int64_t region_round_trip_us = 24000;
+};
+
+// Chooses an upstream for each attempt.
+template <class C>
+concept Chooser = requires(C& chooser,
+                           const std::vector<UpstreamInfo>& upstreams,
+                           std::string_view name,
+                           const RequestClass& request_class,
+                           const std::vector<std::string>& excluded,
+                           absl::Time now,
+                           absl::BitGenRef random) {
+  chooser.SetUpstreams(upstreams, now);
+  {
+    chooser.Choose(name, request_class, now, excluded, random)
+    } -> std::same_as<Result<UpstreamChoice>>;
+  chooser.OnSent(name);
+  chooser.OnAnswer(name, AgentLoad(), absl::Duration(), now);
+  chooser.OnRefused(name, Refusal::kOverload, AgentLoad(), now);
+  chooser.OnFailure(name, now);
+  chooser.OnAbandoned(name, absl::Duration());
+  chooser.OnLeaving(name);
+};
+
+class UpstreamChooser {
+ public:
+  // `link` is the budget of the link between regions and must outlive this
+  // object; null means that the link is not limited.
+  UpstreamChooser(ChooserSettings settings, LinkBudget* link);
+
+  // Replaces the known upstreams. Statistics of those that stay are kept; a
+  // new incarnation starts afresh.
+  void SetUpstreams(const std::vector<UpstreamInfo>& upstreams, absl::Time now);
+
+  // Chooses an upstream of the service that is not in `excluded`. `bytes` is
+  // the expected size of request and answer, taken from the link budget when
+  // the choice is in another region. Fails with a ChooseError.
+  Result<UpstreamChoice> Choose(std::string_view service,
+                                const RequestClass& request_class,
+                                absl::Time now,
+                                const std::vector<std::string>& excluded,
+                                absl::BitGenRef random,
+                                int64_t bytes = 4096);
+
+  // The attempt was written to the agent's socket.
+  void OnSent(std::string_view name);
+
+  // A whole answer arrived `latency` after it was sent.
+  void OnAnswer(std::string_view name,
+                const AgentLoad& load,
+                absl::Duration latency,
+                absl::Time now);
+
+  // The agent refused the attempt before it started.
+  void OnRefused(std::string_view name,
+                 Refusal refusal,
+                 const AgentLoad& load,
+                 absl::Time now);
+
+  // The connection or the answer broke, or the upstream failed.
+  void OnFailure(std::string_view name, absl::Time now);
+
+  // The entry gave up on the attempt `elapsed` after it was sent, because
+  // another one answered first, the caller left, or the deadline passed.
+  void OnAbandoned(std::string_view name, absl::Duration elapsed);
+
+  // The agent announced on its connection that it is leaving. Holds until
+  // membership reports another incarnation.
+  void OnLeaving(std::string_view name);
+
+  bool IsOnProbation(std::string_view name) const;
+
+ private:
+  struct Upstream {
+    UpstreamInfo info;
+    Distance distance = Distance::kSameFailureDomain;
+    int64_t round_trip_us = 0;
+    bool leaving = false;
+    // Attempts of this entry without an end yet.
+    uint32_t in_flight = 0;
+    // Last report of the agent, its time, and attempts sent since.
+    AgentLoad load;
+    absl::Time load_at = absl::InfinitePast();
+    uint32_t sent_since_load = 0;
+    // Decayed latency without the round trip between failure domains.
+    double latency_us = 0;
+    uint32_t samples = 0;
+    // Decayed share of failed attempts, failures in a row, last failure.
+    double failures = 0;
+    uint32_t failures_in_row = 0;
+    absl::Time failed_at = absl::InfinitePast();
+    bool on_probation = false;
+    // Probes in a row that went well.
+    uint32_t good_probes = 0;
+    absl::Time probed_at = absl::InfinitePast();
+    // Medians of the upstreams that it was last compared with.
+    double median_latency_us = 0;
+    double median_service_us = 0;
+  };
+
+  // The upstreams of one service, as indices. `members` has all of them, the
+  // lists below those that may be chosen.
+  struct Pool {
+    std::vector<uint32_t> members;
+    std::array<std::vector<uint32_t>, kDistanceCount> ready;
+    std::vector<uint32_t> on_probation;
+    // Silent or unreachable upstreams.
+    std::vector<uint32_t> last_resort;
+    double median_latency_us = 0;
+    double median_service_us = 0;
+    double median_failures = 0;
+    absl::Time reviewed_at = absl::InfinitePast();
+    uint64_t reviewed_generation = 0;
+    // Thousandths of a probe earned by requests.
+    int probe_credit = 0;
+    // When a request that is not urgent was last seen.
+    absl::Time relaxed_at = absl::InfinitePast();
+  };
+
+  struct Compared {
+    uint32_t index = 0;
+    double estimate_us = 0;
+  };
+
+  // The state of one decision.
+  struct Search {
+    Pool* pool = nullptr;
+    Urgency urgency = Urgency::kNormal;
+    absl::Time now;
+    const std::vector<std::string>* excluded = nullptr;
+    std::vector<Compared> compared;
+  };
+
+  Upstream* Find(std::string_view name);
+  Distance DistanceTo(const UpstreamInfo& info) const;
+  void BuildPools();
+  void Review(Pool* pool, absl::Time now);
+  void SetMedians(Pool* pool);
+  void MarkOutliers(Pool* pool, absl::Time now);
+  void Sort(Pool* pool);
+  static bool IsOutlier(const Upstream& upstream, const Pool& pool);
+  static bool IsUsable(const Upstream& upstream);
+  bool IsCandidate(const Search& search, uint32_t index) const;
+  double ServiceUs(const Upstream& upstream,
+                   const Pool& pool,
+                   absl::Time now) const;
+  double EstimateUs(const Upstream& upstream, const Search& search) const;
+  void Compare(Search* search, uint32_t index) const;
+  void Sample(Search* search,
+              const std::vector<uint32_t>& from,
+              absl::BitGenRef random) const;
+  const Compared* Best(const Search& search, bool with_other_regions) const;
+  void SampleByDistance(Search* search, absl::BitGenRef random) const;
+  std::optional<uint32_t> FindProbe(Search* search);
+  Result<uint32_t> Pick(Search* search,
+                        int64_t bytes,
+                        absl::BitGenRef random) const;
+  ChooseError WhyNone(const Search& search) const;
+  UpstreamChoice MakeChoice(const Search& search,
+                            uint32_t index,
+                            bool probe) const;
+  static void EndAttempt(Upstream* upstream);
+  static void SetLoad(Upstream* upstream,
+                      const AgentLoad& load,
+                      absl::Time now);
+  static void AddLatency(Upstream* upstream, absl::Duration latency);
+  static void AddOutcome(Upstream* upstream, bool failed, absl::Time now);
+  static void JudgeProbe(Upstream* upstream, bool good);
+  static bool IsGoodProbe(const Upstream& upstream, absl::Duration latency);
+
+  ChooserSettings settings;
+  LinkBudget* link;
+  // Counts the calls of SetUpstreams().
+  uint64_t generation = 0;
+  std::vector<Upstream> upstreams;
+  absl::flat_hash_map<std::string, uint32_t> by_name;
+  absl::flat_hash_map<std::string, Pool> pools;
+};
+
+}  // namespace cuminjunction
+
+#endif  // REQUEST_CHOOSER_H_
--- /dev/null
+++ b/request/testing/chooser_test.cc
@@ -0,0 +1,289 @@
+#include "request/chooser.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <set>
+
+#include "base/strings.h"
+#include "request/baseline.h"
+
+namespace cuminjunction {
+namespace {
+
+static_assert(Chooser<UpstreamChooser>);
+static_assert(Chooser<RandomChooser>);
+
+const RequestClass kUrgent = {"a", Urgency::kUrgent};
+const RequestClass kNormal = {"a", Urgency::kNormal};
+const ChooserSettings kEntry = {"erie-a", "erie", 1000, 24000};
+const AgentLoad kIdle = {1, 0, 8, 0, 5000};
+const AgentLoad kBusy = {8, 80, 8, 50000, 5000};
+
+absl::Time At(int64_t ms) {
+  return absl::UnixEpoch() + absl::Milliseconds(ms);
+}
+
+UpstreamInfo Runner(int number,
+                    const std::string& domain = "erie-a",
+                    const std::string& region = "erie") {
+  UpstreamInfo info;
+  info.name = StrCat("runner-", number);
+  info.failure_domain = domain;
+  info.region = region;
+  info.services = {"s"};
+  info.incarnation = 1;
+  return info;
+}
+
+std::vector<UpstreamInfo> Runners(int count) {
+  std::vector<UpstreamInfo> infos;
+  infos.reserve(static_cast<size_t>(count));
+  for (int i = 0; i < count; ++i)
+    infos.push_back(Runner(i));
+  return infos;
+}
+
+class ChooserTest : public testing::Test {
+ protected:
+  // Sends one request and has it answered at once. Returns the upstream.
+  std::string Serve(absl::Time now,
+                    const std::map<std::string, int64_t>& latency_us = {},
+                    const RequestClass& cls = kNormal) {
+    const auto choice = this->chooser.Choose("s", cls, now, {}, this->random);
+    if (!choice)
+      return choice.error().message();
+    const std::string& name = choice.value().name;
+    const auto found = latency_us.find(name);
+    const int64_t us = found == latency_us.end() ? 5000 : found->second;
+    this->chooser.OnSent(name);
+    AgentLoad load = kIdle;
+    load.service_us = static_cast<uint64_t>(us);
+    this->chooser.OnAnswer(name, load, absl::Microseconds(us), now);
+    return name;
+  }
+
+  // Serves `count` requests, one a millisecond, and counts them by upstream.
+  std::map<std::string, int> ServeMany(
+      int count,
+      const std::map<std::string, int64_t>& latency_us = {},
+      const RequestClass& cls = kNormal) {
+    std::map<std::string, int> counts;
+    for (int i = 0; i < count; ++i)
+      counts[this->Serve(At(++this->now_ms), latency_us, cls)] += 1;
+    return counts;
+  }
+
+  void Report(const std::string& name, const AgentLoad& load, absl::Time now) {
+    this->chooser.OnSent(name);
+    this->chooser.OnAnswer(name, load, absl::Milliseconds(5), now);
+  }
+
+  std::string ChooseName(absl::Time now, const RequestClass& cls = kNormal) {
+    const auto choice = this->chooser.Choose("s", cls, now, {}, this->random);
+    return choice ? choice.value().name : choice.error().message();
+  }
+
+  std::mt19937 random{1};
+  LinkBudget link{1000000};
+  UpstreamChooser chooser{kEntry, &this->link};
+  int64_t now_ms = 0;
+};
+
+// Guards against traffic between failure domains or regions without need.
+TEST_F(ChooserTest, StaysInTheFailureDomainWhileItIsIdle) {
+  this->chooser.SetUpstreams({Runner(1), Runner(2), Runner(3, "erie-b"),
+                              Runner(4, "huron-a", "huron")},
+                             At(0));
+  const std::map<std::string, int> counts = this->ServeMany(1000);
+  EXPECT_EQ(counts.size(), 2u);
+  EXPECT_TRUE(counts.contains("runner-1") && counts.contains("runner-2"));
+}
+
+// Guards against queueing behind a busy failure domain beside an idle one, and
+// against crossing regions for less than the round trip.
+TEST_F(ChooserTest, LeavesABusyFailureDomainButNotForLessThanTheRoundTrip) {
+  this->chooser.SetUpstreams(
+      {Runner(1), Runner(2, "erie-b"), Runner(3, "huron-a", "huron")}, At(0));
+  this->Report("runner-1", kBusy, At(0));
+  this->Report("runner-2", kIdle, At(0));
+  this->Report("runner-3", kIdle, At(0));
+  EXPECT_EQ(this->ChooseName(At(1)), "runner-2");
+  AgentLoad busier_than_idle = kBusy;
+  busier_than_idle.wait_us = 15000;
+  this->Report("runner-2", busier_than_idle, At(1));
+  EXPECT_EQ(this->ChooseName(At(1)), "runner-2");
+  this->Report("runner-2", kBusy, At(1));
+  EXPECT_EQ(this->ChooseName(At(1)), "runner-3");
+}
+
+// Guards against a spill-over that fills the shared link.
+TEST_F(ChooserTest, CrossesRegionsOnlyWithinTheLinkBudget) {
+  this->chooser.SetUpstreams({Runner(1), Runner(2, "huron-a", "huron")}, At(0));
+  this->Report("runner-1", kBusy, At(0));
+  while (this->link.TryTake(LinkUse::kNormal, 1000, At(0)))
+    continue;
+  EXPECT_EQ(this->ChooseName(At(0), kNormal), "runner-1");
+  EXPECT_EQ(this->ChooseName(At(0), kUrgent), "runner-2");
+  this->chooser.SetUpstreams({Runner(2, "huron-a", "huron")}, At(0));
+  const auto choice =
+      this->chooser.Choose("s", kNormal, At(0), {}, this->random);
+  EXPECT_EQ(choice.error(), ChooseError::kLinkBusy);
+}
+
+// Guards against new work for an upstream after it said that it is leaving.
+TEST_F(ChooserTest, LeavingUpstreamGetsNothingUntilItsNextIncarnation) {
+  std::vector<UpstreamInfo> infos = Runners(2);
+  this->chooser.SetUpstreams(infos, At(0));
+  this->chooser.OnLeaving("runner-0");
+  EXPECT_EQ(this->ServeMany(300).count("runner-0"), 0u);
+  // Gossip that does not know yet must not undo it.
+  this->chooser.SetUpstreams(infos, At(400));
+  EXPECT_EQ(this->ServeMany(300).count("runner-0"), 0u);
+  infos[0].incarnation = 2;
+  this->chooser.SetUpstreams(infos, At(800));
+  EXPECT_GT(this->ServeMany(300)["runner-0"], 50);
+}
+
+// Guards against an outlier that stays in the tail, that is probed by more
+// than a small share of requests, and that is never readmitted.
+TEST_F(ChooserTest, SlowOutlierIsProbedAndReadmitted) {
+  this->chooser.SetUpstreams(Runners(11), At(0));
+  this->ServeMany(1000);
+  const std::map<std::string, int64_t> slow = {{"runner-3", 50000}};
+  this->ServeMany(1000, slow);
+  EXPECT_TRUE(this->chooser.IsOnProbation("runner-3"));
+  const int probes = this->ServeMany(10000, slow)["runner-3"];
+  EXPECT_GE(probes, 10);
+  EXPECT_LE(probes, 30);
+  this->ServeMany(5000);
+  EXPECT_FALSE(this->chooser.IsOnProbation("runner-3"));
+  EXPECT_GT(this->ServeMany(1000)["runner-3"], 50);
+}
+
+// Guards against urgent requests as probes while others could be used.
+TEST_F(ChooserTest, UrgentRequestsDoNotProbeWhileOthersCan) {
+  const std::map<std::string, int64_t> slow = {{"runner-3", 50000}};
+  this->chooser.SetUpstreams(Runners(11), At(0));
+  this->ServeMany(1000);
+  for (int i = 0; i < 50; ++i) {
+    this->chooser.OnSent("runner-3");
+    this->chooser.OnAnswer("runner-3", kIdle, absl::Milliseconds(50),
+                           At(this->now_ms));
+  }
+  int urgent_probes = 0;
+  for (int i = 0; i < 5000; ++i) {
+    urgent_probes += this->ServeMany(9, slow, kUrgent)["runner-3"];
+    this->ServeMany(1, slow, kNormal);
+  }
+  EXPECT_EQ(urgent_probes, 0);
+  EXPECT_GT(this->ServeMany(20000, slow, kUrgent)["runner-3"], 0);
+}
+
+// Guards against a failing upstream that attracts requests by failing fast.
+TEST_F(ChooserTest, FailingUpstreamIsPutOnProbation) {
+  this->chooser.SetUpstreams(Runners(4), At(0));
+  this->ServeMany(100);
+  for (int i = 0; i < 3; ++i) {
+    this->chooser.OnSent("runner-2");
+    this->chooser.OnFailure("runner-2", At(this->now_ms));
+  }
+  this->now_ms += 200;
+  EXPECT_LE(this->ServeMany(1000)["runner-2"], 250);
+  this->ServeMany(3000);
+  EXPECT_FALSE(this->chooser.IsOnProbation("runner-2"));
+}
+
+// Guards against a load peak that looks like many outliers and takes most of
+// the upstreams out of service.
+TEST_F(ChooserTest, AtMostHalfAreOnProbation) {
+  std::map<std::string, int64_t> slow;
+  for (int i = 0; i < 7; ++i)
+    slow[StrCat("runner-", i)] = 500000;
+  this->chooser.SetUpstreams(Runners(8), At(0));
+  this->ServeMany(5000, slow);
+  int on_probation = 0;
+  for (int i = 0; i < 8; ++i)
+    on_probation += this->chooser.IsOnProbation(StrCat("runner-", i)) ? 1 : 0;
+  EXPECT_LE(on_probation, 4);
+}
+
+// Guards against an old report of a long queue that keeps requests away for
+// good.
+TEST_F(ChooserTest, OldReportIsForgotten) {
+  this->chooser.SetUpstreams(Runners(2), At(0));
+  this->Report("runner-0", kBusy, At(0));
+  this->now_ms = 100;
+  EXPECT_GT(this->ServeMany(100)["runner-0"], 20);
+}
+
+// Guards against herding: five entries that all hold the same old report must
+// not all send to the upstream that was least loaded then.
+TEST_F(ChooserTest, SeveralEntriesDoNotHerd) {
+  std::map<std::string, int> sent;
+  for (uint32_t entry = 0; entry < 5; ++entry) {
+    UpstreamChooser other(kEntry, nullptr);
+    other.SetUpstreams(Runners(11), At(0));
+    std::mt19937 bits(entry);
+    for (int i = 0; i < 11; ++i) {
+      AgentLoad load = kIdle;
+      load.running = static_cast<uint32_t>(i);
+      other.OnSent(StrCat("runner-", i));
+      other.OnAnswer(StrCat("runner-", i), load, absl::Milliseconds(5), At(0));
+    }
+    for (int i = 0; i < 11; ++i) {
+      const auto choice = other.Choose("s", kNormal, At(1), {}, bits);
+      sent[choice.value().name] += 1;
+      other.OnSent(choice.value().name);
+    }
+  }
+  // 55 requests, so an even spread is 5 each.
+  for (const auto& [name, count] : sent)
+    EXPECT_LE(count, 15) << name;
+}
+
+// Guards against a choice that the caller excluded, one that is not usable, a
+// missing choice while there is one, and a wrong reason for none.
+RC_GTEST_PROP(ChooserPropertyTest, ChoosesOnlyWhatMayBeChosen, ()) {
+  std::mt19937 bits(1);
+  UpstreamChooser chooser(kEntry, nullptr);
+  std::vector<UpstreamInfo> infos = Runners(*rc::gen::inRange(1, 6));
+  std::set<std::string> usable;
+  std::vector<std::string> excluded;
+  bool any_ready = false;
+  for (UpstreamInfo& info : infos) {
+    info.state = static_cast<UpstreamState>(*rc::gen::inRange(0, 5));
+    info.region = *rc::gen::element<std::string>("erie", "huron");
+    const bool is_excluded = *rc::gen::arbitrary<bool>();
+    if (is_excluded)
+      excluded.push_back(info.name);
+    const bool ready = info.state != UpstreamState::kLeaving &&
+                       info.state != UpstreamState::kDown;
+    any_ready = any_ready || ready;
+    if (ready && !is_excluded)
+      usable.insert(info.name);
+  }
+  chooser.SetUpstreams(infos, At(0));
+  const int failures = *rc::gen::inRange(0, 20);
+  for (int i = 0; i < failures; ++i)
+    chooser.OnFailure(infos[static_cast<size_t>(i * i) % infos.size()].name,
+                      At(i));
+  for (int i = 0; i < 20; ++i) {
+    const auto choice =
+        chooser.Choose("s", kNormal, At(99 + i), excluded, bits);
+    if (choice)
+      RC_ASSERT(usable.contains(choice.value().name));
+    else
+      RC_ASSERT(choice.error() == (any_ready ? ChooseError::kAllExcluded
+                                             : ChooseError::kNoneReady));
+    RC_ASSERT(choice.has_value() == !usable.empty());
+  }
+  RC_ASSERT(chooser.Choose("other", kNormal, At(0), {}, bits).error() ==
+            ChooseError::kUnknownService);
+}
+
+}  // namespace
+}  // namespace cuminjunction
