--- a/request/baseline.h
+++ b/request/baseline.h
@@ -80,7 +80,7 @@
                 absl::Time) {}
   void OnRefused(std::string_view, Refusal, const AgentLoad&, absl::Time) {}
   void OnFailure(std::string_view, absl::Time) {}
-  void OnAbandoned(std::string_view, absl::Duration) {}
+  void OnAbandoned(std::string_view, absl::Duration, absl::Time) {}
   void OnLeaving(std::string_view) {}
 
  private:
--- a/request/budget.h
+++ b/request/budget.h
@@ -5,7 +5,7 @@
 // regions.
 //
 //   RetryBudget retries;
-//   retries.OnFirstAttempt();              // for each request
+//   retries.OnFirstAttempt();              // its first attempt has ended
 //   if (retries.TryTake()) ...             // retry, otherwise report
 //
 //   HedgeTimer hedge_timer;
@@ -40,7 +40,8 @@
  public:
   static constexpr int64_t kMostSaved = 100;
 
-  // Counts a first attempt.
+  // Counts a first attempt. Called when the attempt ends otherwise than by a
+  // refusal: a flood that is refused must not earn a budget for more load.
   void OnFirstAttempt() {
     this->hundredths = std::min(this->hundredths + Percent, kMostSaved * 100);
   }
--- a/request/chooser.cc
+++ b/request/chooser.cc
@@ -300,6 +300,11 @@
   if (!remote || this->link == nullptr ||
       this->link->TryTake(ToLinkUse(search->urgency), bytes, search->now))
     return best->index;
+  if (this->Best(*search, false) == nullptr) {
+    // Upstreams on probation are better than none.
+    this->Sample(search, search->pool->on_probation, random);
+    this->Sample(search, search->pool->last_resort, random);
+  }
   const Compared* near = this->Best(*search, false);
   if (near == nullptr)
     return ChooseError::kLinkBusy;
--- a/request/chooser.h
+++ b/request/chooser.h
@@ -143,7 +143,7 @@
   chooser.OnAnswer(name, AgentLoad(), absl::Duration(), now);
   chooser.OnRefused(name, Refusal::kOverload, AgentLoad(), now);
   chooser.OnFailure(name, now);
-  chooser.OnAbandoned(name, absl::Duration());
+  chooser.OnAbandoned(name, absl::Duration(), now);
   chooser.OnLeaving(name);
 };
 
@@ -187,7 +187,9 @@
 
   // The entry gave up on the attempt `elapsed` after it was sent, because
   // another one answered first, the caller left, or the deadline passed.
-  void OnAbandoned(std::string_view name, absl::Duration elapsed);
+  void OnAbandoned(std::string_view name,
+                   absl::Duration elapsed,
+                   absl::Time now);
 
   // The agent announced on its connection that it is leaving. Holds until
   // membership reports another incarnation.
@@ -209,7 +211,8 @@
     uint32_t sent_since_load = 0;
     // Decayed latency without the round trip between failure domains.
     double latency_us = 0;
-    uint32_t samples = 0;
+    uint32_t latency_samples = 0;
+    uint32_t answers = 0;
     // Decayed share of failed attempts, failures in a row, last failure.
     double failures = 0;
     uint32_t failures_in_row = 0;
--- a/request/chooser_feedback.cc
+++ b/request/chooser_feedback.cc
@@ -30,6 +30,8 @@
 constexpr uint32_t kGoodProbes = 3;
 constexpr uint32_t kGoodProbesAlone = 10;
 constexpr double kRecoveredFactor = 2;
+// An agent without an answer for this long is silent.
+constexpr absl::Duration kSilentAfter = absl::Seconds(1);
 
 // The lower median; 0 when there are no values.
 double Median(std::vector<double>* values) {
@@ -84,14 +86,14 @@
       (upstream.failures_in_row >= kOutlierFailuresInRow ||
        upstream.failures > kOutlierFailures))
     return true;
-  if (upstream.samples < kOutlierSamples)
-    return false;
   const auto far = [](double own, double median) {
     return median > 0 && own > median * kOutlierFactor + kOutlierFloorUs;
   };
-  return far(upstream.latency_us, pool.median_latency_us) ||
-         far(static_cast<double>(upstream.load.service_us),
-             pool.median_service_us);
+  return (upstream.latency_samples >= kOutlierSamples &&
+          far(upstream.latency_us, pool.median_latency_us)) ||
+         (upstream.answers >= kOutlierSamples &&
+          far(static_cast<double>(upstream.load.service_us),
+              pool.median_service_us));
 }
 
 // At most half of the upstreams are on probation at a time: when more of them
@@ -149,10 +151,11 @@
   const double sample_us =
       std::max(1.0, absl::ToDoubleMicroseconds(latency) -
                         static_cast<double>(upstream->round_trip_us));
-  upstream->samples += 1;
+  upstream->latency_samples += 1;
   // The plain mean of the first samples; otherwise the first one would weigh
   // most.
-  const double weight = std::max(kSampleWeight, 1.0 / upstream->samples);
+  const double weight =
+      std::max(kSampleWeight, 1.0 / upstream->latency_samples);
   upstream->latency_us += weight * (sample_us - upstream->latency_us);
 }
 
@@ -184,7 +187,8 @@
     return;
   upstream->on_probation = false;
   upstream->good_probes = 0;
-  upstream->samples = 0;
+  upstream->latency_samples = 0;
+  upstream->answers = 0;
   upstream->latency_us = upstream->median_latency_us;
   upstream->load.service_us = 0;
   upstream->failures = 0;
@@ -209,7 +213,10 @@
   EndAttempt(upstream);
   SetLoad(upstream, load, now);
   AddOutcome(upstream, false, now);
-  AddLatency(upstream, latency);
+  upstream->answers += 1;
+  // Behind a queue the latency tells about the load and not about the upstream.
+  if (load.queued == 0)
+    AddLatency(upstream, latency);
   if (upstream->on_probation)
     JudgeProbe(upstream, IsGoodProbe(*upstream, latency));
 }
@@ -242,16 +249,20 @@
     JudgeProbe(upstream, false);
 }
 
-// The latency is unknown, but it is at least the time that has passed.
+// The latency is unknown, but it is at least the time that has passed. That
+// counts when no queue explains it, or when the agent has been silent too.
 void UpstreamChooser::OnAbandoned(std::string_view name,
-                                  absl::Duration elapsed) {
+                                  absl::Duration elapsed,
+                                  absl::Time now) {
   Upstream* upstream = this->Find(name);
   if (upstream == nullptr)
     return;
   EndAttempt(upstream);
-  if (absl::ToDoubleMicroseconds(elapsed) -
-          static_cast<double>(upstream->round_trip_us) <=
-      upstream->latency_us)
+  const bool explained =
+      upstream->load.queued > 0 && now - upstream->load_at < kSilentAfter;
+  const double least_us = absl::ToDoubleMicroseconds(elapsed) -
+                          static_cast<double>(upstream->round_trip_us);
+  if (explained || least_us <= upstream->latency_us)
     return;
   AddLatency(upstream, elapsed);
   if (upstream->on_probation && !IsGoodProbe(*upstream, elapsed))
--- a/request/fair_queue.cc
+++ b/request/fair_queue.cc
@@ -16,6 +16,11 @@
 constexpr absl::Duration kRefreshInterval = absl::Milliseconds(10);
 // Time constant over which the use of slots is averaged.
 constexpr double kUseWindowUs = 500e3;
+// An estimate is followed for this long after the last request of its class.
+constexpr absl::Duration kTrustEstimate = absl::Seconds(1);
+// Factor on the expected wait in admission. The wait varies, and a request that
+// waits in vain takes a place from one that could be answered.
+constexpr double kWaitMargin = 1.25;
 // A class that was idle this long is forgotten.
 constexpr absl::Duration kForgetAfter = absl::Seconds(10);
 // A floor may be saved up for this long, so that a class with a few requests a
@@ -62,6 +67,7 @@
   // Start tag of start-time fair queueing among the same urgency.
   double tag = 0;
   absl::Time used_at;
+  absl::Time finished_at = absl::InfinitePast();
 };
 
 struct FairQueue::Running {
@@ -156,11 +162,10 @@
   }
   if (cls->items.size() >= free)
     return Refusal::kOverload;
-  // One request of a class is always let in: without it, an estimate that was
-  // once too high would refuse all requests and never be corrected.
-  if (cls->items.empty() && cls->running == 0)
+  if (cls->items.empty() && IsEstimateOld(*cls, now))
     return Refusal::kNone;
-  const double need_us = this->WaitUs(*cls) + cost * this->ServiceUs(*cls);
+  const double need_us =
+      kWaitMargin * this->WaitUs(*cls) + cost * this->ServiceUs(*cls);
   if (now + absl::Microseconds(need_us) > deadline)
     return Refusal::kOverload;
   return Refusal::kNone;
@@ -199,9 +204,27 @@
   return true;
 }
 
+// True when nothing of the class ran lately. Then one request is let through
+// whatever is expected: without it, an estimate that was once too high would
+// refuse all requests and never be corrected.
+bool FairQueue::IsEstimateOld(const Class& cls, absl::Time now) {
+  return cls.running == 0 && now - cls.finished_at > kTrustEstimate;
+}
+
+// True when the first request of the class would be answered after its
+// deadline: its slot time would be wasted.
+bool FairQueue::IsTooLate(const Class& cls, absl::Time now) const {
+  const Item& item = cls.items.front();
+  if (item.deadline <= now)
+    return true;
+  return !IsEstimateOld(cls, now) &&
+         now + absl::Microseconds(item.cost * this->ServiceUs(cls)) >
+             item.deadline;
+}
+
 std::optional<QueueExit> FairQueue::PopExpired(absl::Time now) {
   for (Class* cls : this->classes) {
-    if (cls->items.empty() || cls->items.front().deadline > now)
+    if (cls->items.empty() || !this->IsTooLate(*cls, now))
       continue;
     const QueueExit exit = {cls->items.front().id, Refusal::kDeadline};
     this->Unlink(cls, cls->items.begin());
@@ -284,6 +307,7 @@
   this->Charge(ended.cls, actual_us - ended.charged_us);
   ended.cls->running -= 1;
   ended.cls->used_at = now;
+  ended.cls->finished_at = now;
   const double sample_us = actual_us / std::max(ended.cost, 1e-3);
   ended.cls->service.Add(sample_us);
   this->service.Add(sample_us);
--- a/request/fair_queue.h
+++ b/request/fair_queue.h
@@ -101,7 +101,8 @@
             absl::Time now);
 
   // The next request to start when a slot is free, which takes the slot, or a
-  // queued request whose deadline has passed. nullopt when there is neither.
+  // queued request whose deadline has passed or would pass before its answer.
+  // nullopt when there is neither.
   std::optional<QueueExit> Pop(absl::Time now);
 
   // Takes a cancelled request out of the queue. False when it is not queued; a
@@ -146,6 +147,8 @@
   void SetRate(Class* cls);
   void Accrue(Class* cls, absl::Time now) const;
   bool GoesBefore(const Class& a, const Class& b) const;
+  static bool IsEstimateOld(const Class& cls, absl::Time now);
+  bool IsTooLate(const Class& cls, absl::Time now) const;
   std::optional<QueueExit> PopExpired(absl::Time now);
   void Start(Class* cls, absl::Time now);
   void Charge(Class* cls, double slot_us) const;
