--- /dev/null
+++ b/task/batch.h
@@ -0,0 +1,78 @@
+#ifndef TASK_BATCH_H_
+#define TASK_BATCH_H_
+
+// Several decisions that take effect together.
+//
+// A batch collects working copies of rows. Each transition (see
+// task/transitions.h) reads the copies, so that a later decision of the batch
+// sees the earlier ones, and a refused transition leaves them unchanged:
+//
+//   Batch batch(&charts, "planner-7/42");
+//   Status placed = Place(task, worker, now, PlaceMode::kNormal, &batch);
+//   Result<uint64_t> version = table.Commit(batch.ToTransaction());
+//   for (const auto& [id, entry] : batch.Tasks()) ...   // the new rows
+
+#include <map>
+#include <string>
+
+#include "platform/table.h"
+#include "task/charts.h"
+#include "task/row.h"
+
+namespace cuminjunction {
+
+class Batch {
+ public:
+  // `charts` must outlive the batch. `transaction` is recorded in each row.
+  Batch(const TaskCharts* charts, std::string transaction);
+
+  const TaskCharts& Charts() const { return *this->charts; }
+
+  // The batch's copy of a row if it has one, else the given row.
+  const TaskEntry& Current(const TaskEntry& entry) const;
+  const WorkerEntry& Current(const WorkerEntry& entry) const;
+  const OwnerEntry& Current(const OwnerEntry& entry) const;
+
+  // Sets the row that is to be written. `entry` gives the version expected.
+  void Set(const TaskEntry& entry, TaskRow row);
+  void Set(const WorkerEntry& entry, WorkerRow row);
+  void Set(const OwnerEntry& entry, OwnerRow row);
+
+  // Deletes a task row.
+  void Delete(const TaskEntry& entry);
+
+  const std::map<std::string, TaskEntry>& Tasks() const { return this->tasks; }
+  const std::map<std::string, WorkerEntry>& Workers() const {
+    return this->workers;
+  }
+  const std::map<std::string, OwnerEntry>& Owners() const {
+    return this->owners;
+  }
+  const std::map<std::string, uint64_t>& Deleted() const {
+    return this->deleted;
+  }
+
+  // Number of rows written.
+  size_t size() const {
+    return this->tasks.size() + this->workers.size() + this->owners.size() +
+           this->deleted.size();
+  }
+
+  const std::string& Id() const { return this->id; }
+
+  Transaction ToTransaction() const;
+
+ private:
+  const TaskCharts* charts;
+  std::string id;
+  // New rows with the version that the old row must have.
+  std::map<std::string, TaskEntry> tasks;
+  std::map<std::string, WorkerEntry> workers;
+  std::map<std::string, OwnerEntry> owners;
+  // Task ids with the version that the row must have.
+  std::map<std::string, uint64_t> deleted;
+};
+
+}  // namespace cuminjunction
+
+#endif  // TASK_BATCH_H_
