--- a/task/lease.h
+++ b/task/lease.h
@@ -58,7 +58,8 @@
   explicit LeaseHolder(const LeasePolicy& policy) : policy(policy) {}
 
   // A renewal that makes the row's sequence number `sequence` is about to be
-  // sent. An earlier one with an unknown outcome stays on record.
+  // sent; at `now` the row still had a smaller number. An earlier one with an
+  // unknown outcome stays on record.
   void Sending(uint64_t sequence, absl::Time now);
 
   // The renewal is known to be committed. Returns the new stop deadline, or
--- a/task/row.cc
+++ b/task/row.cc
@@ -345,7 +345,9 @@
                {"generation", row.generation},
                {"next_index", row.next_index},
                {"config_version", row.config_version},
+               {"declaration", row.declaration},
                {"removed", row.removed},
+               {"stopped", row.stopped},
                {"transaction", row.transaction}});
 }
 
@@ -358,7 +360,9 @@
   reader.Read("generation", &out.generation);
   reader.Read("next_index", &out.next_index);
   reader.Read("config_version", &out.config_version);
+  reader.Read("declaration", &out.declaration);
   reader.Read("removed", &out.removed);
+  reader.Read("stopped", &out.stopped);
   reader.Read("transaction", &out.transaction);
   if (reader.Error())
     return *reader.Error();
--- a/task/row.h
+++ b/task/row.h
@@ -130,7 +130,7 @@
   // Id of the transaction that wrote the row.
   std::string transaction;
 
-  auto operator<=>(const TaskRow&) const = default;
+  bool operator==(const TaskRow&) const = default;
 
   // True when the task exists as one named instance, which must not run twice
   // and is stopped at the lease's stop deadline.
@@ -176,7 +176,7 @@
   uint64_t epoch = 0;
   AssignmentAction action = AssignmentAction::kRun;
 
-  auto operator<=>(const Assignment&) const = default;
+  bool operator==(const Assignment&) const = default;
 };
 
 struct WorkerRow {
@@ -199,7 +199,7 @@
   std::vector<Assignment> assignments;
   std::string transaction;
 
-  auto operator<=>(const WorkerRow&) const = default;
+  bool operator==(const WorkerRow&) const = default;
 
   // Sum of the assignments.
   Size Committed() const;
@@ -221,10 +221,14 @@
   // Configuration version at which the declaration was last acted on. A planner
   // with an older configuration leaves the row alone.
   uint64_t config_version = 0;
+  // Checksum of that declaration.
+  uint32_t declaration = 0;
   bool removed = false;
+  // An operator has stopped it: its tasks are checkpointed and parked.
+  bool stopped = false;
   std::string transaction;
 
-  auto operator<=>(const OwnerRow&) const = default;
+  bool operator==(const OwnerRow&) const = default;
 };
 
 // Lease of a planner. It only avoids conflicts; no promise depends on it.
@@ -234,7 +238,7 @@
   int64_t deadline_us = 0;
   std::string transaction;
 
-  auto operator<=>(const PlannerRow&) const = default;
+  bool operator==(const PlannerRow&) const = default;
 };
 
 inline constexpr std::string_view kTaskPrefix = "task/";
--- a/task/testing/row_test.cc
+++ b/task/testing/row_test.cc
@@ -49,7 +49,8 @@
   const WorkerRow worker = MakeWorker();
   EXPECT_EQ(ParseWorker({WorkerKey("w1"), ToText(worker)}).value(), worker);
   EXPECT_EQ(worker.Committed(), (Size{5, 7, 1}));
-  const OwnerRow owner = {"plan", TaskKind::kBatch, 2, 7, 5, true, "t"};
+  const OwnerRow owner = {"plan", TaskKind::kBatch, 2, 7, 5, 9, true, true,
+                          "t"};
   EXPECT_EQ(ParseOwner({OwnerKey("plan"), ToText(owner)}).value(), owner);
   const PlannerRow planner = {"erie", "entry-1", 12, "t"};
   EXPECT_EQ(ParsePlanner({PlannerKey("erie"), ToText(planner)}).value(),
--- a/task/transitions.cc
+++ b/task/transitions.cc
@@ -13,6 +13,9 @@
 // Workers that a task failed on and that its row names; the oldest are dropped.
 constexpr size_t kFailedOnKept = 8;
 
+// Keeps the shift within 32 bits; the longest back-off is reached before.
+constexpr uint32_t kMostDoublings = 16;
+
 Status StepTask(const Batch& batch, TaskRow* row, const char* event) {
   BOOST_OUTCOME_TRY(next, batch.Charts().Next(row->state, event));
   row->state = next;
@@ -116,7 +119,6 @@
 }
 
 absl::Duration RetryPolicy::Backoff(uint32_t failures) const {
-  constexpr uint32_t kMostDoublings = 16;
   const uint32_t doublings =
       std::min(failures == 0 ? 0 : failures - 1, kMostDoublings);
   return std::min(this->longest_backoff,
@@ -133,6 +135,25 @@
   return Ok();
 }
 
+Status Redeclare(const TaskEntry& task, const TaskRow& declared, Batch* batch) {
+  TaskRow row = batch->Current(task).row;
+  if (row.HoldsCapacity())
+    return TransitionError::kAlreadyPlaced;
+  if (row.IsFinal())
+    return TransitionError::kRowState;
+  row.account = declared.account;
+  row.urgency = declared.urgency;
+  row.size = declared.size;
+  row.command = declared.command;
+  row.depends_on = declared.depends_on;
+  row.config_version = declared.config_version;
+  if (row.state == TaskState::kBlocked && row.depends_on.empty()) {
+    BOOST_OUTCOME_TRY(StepTask(*batch, &row, "unblock"));
+  }
+  batch->Set(task, std::move(row));
+  return Ok();
+}
+
 Status DeleteTask(const TaskEntry& task, Batch* batch) {
   const TaskRow& row = batch->Current(task).row;
   if (!row.IsFinal() || row.HoldsCapacity() || task.version == 0)
--- a/task/transitions.h
+++ b/task/transitions.h
@@ -65,6 +65,10 @@
 // Creates a task row: pending, or blocked when it has dependencies.
 Status CreateTask(TaskRow task, Batch* batch);
 
+// Gives a task that holds no capacity a new declaration: size, urgency,
+// command, dependencies and configuration version are taken from `declared`.
+Status Redeclare(const TaskEntry& task, const TaskRow& declared, Batch* batch);
+
 // Deletes a final task's row that holds no capacity. Fails with kRowState.
 Status DeleteTask(const TaskEntry& task, Batch* batch);
 
