Add the request path from entry to upstream

Caller, entry shard (libmicrohttpd), framed TCP, agent and upstream (libcurl multi) answer a request over real sockets. The entry follows charts/request.yaml for what is certain about each attempt; the agent keeps the ids it has seen and refuses late frames.

Routing and queueing sit behind RoutePolicy and AgentQueue, with a round robin and a first-in first-out queue as plain forms.

--- /dev/null
+++ b/request/entry_front.cc
@@ -0,0 +1,339 @@
+#include "request/entry_front.h"
+
+#include <algorithm>
+
+#include "request/entry_state.h"
+
+namespace cuminjunction {
+
+namespace {
+
+// How often a draining shard looks whether it is idle.
+constexpr std::chrono::milliseconds kDrainPoll(10);
+
+EntryError ErrorOf(HttpLimit limit) {
+  switch (limit) {
+    case HttpLimit::kBody:
+      return EntryError::kBodyTooLarge;
+    case HttpLimit::kHeaders:
+      return EntryError::kHeadersTooLarge;
+    case HttpLimit::kConnections:
+      return EntryError::kTooManyConnections;
+    default:
+      return EntryError::kOutOfMemory;
+  }
+}
+
+}  // namespace
+
+EntryFront::EntryFront(EventThread* thread,
+                       EntryOptions options,
+                       const RequestChart* chart,
+                       std::unique_ptr<RoutePolicy> policy,
+                       IdempotencyClaims* claims,
+                       Log* log,
+                       Metrics* metrics)
+    : thread(thread),
+      options(std::move(options)),
+      chart(chart),
+      policy(std::move(policy)),
+      claims(claims),
+      log(log),
+      timer(thread->Context()),
+      drain_timer(thread->Context()),
+      document(std::make_shared<const Document>()),
+      decisions(this->options.decisions_kept),
+      answered_total(
+          metrics->GetCounter("requests_total", "outcome=\"answered\"")),
+      not_run_total(
+          metrics->GetCounter("requests_total", "outcome=\"not-run\"")),
+      unknown_total(
+          metrics->GetCounter("requests_total", "outcome=\"unknown\"")),
+      attempts_total(metrics->GetCounter("attempts_total")),
+      retries_total(metrics->GetCounter("retries_total")),
+      hedges_total(metrics->GetCounter("hedges_total")),
+      late_total(metrics->GetCounter("late_answers_total")),
+      damaged_total(metrics->GetCounter("entry_links_damaged_total")),
+      seconds(metrics->GetSummary("request_seconds")) {
+  this->front = std::make_unique<HttpFront>(
+      &thread->Context(), this->options.http,
+      [this](HttpExchange* exchange) { this->OnExchange(exchange); });
+}
+
+EntryFront::~EntryFront() = default;
+
+Result<uint16_t> EntryFront::Start() {
+  return this->thread->Call([this] { return this->front->Start(); });
+}
+
+void EntryFront::SetDocument(std::shared_ptr<const Document> document) {
+  this->thread->Post([this, document = std::move(document)]() mutable {
+    this->document = std::move(document);
+  });
+}
+
+void EntryFront::SetUpstreams(std::vector<UpstreamEndpoint> upstreams) {
+  this->thread->Post([this, upstreams = std::move(upstreams)] {
+    this->ApplyUpstreams(upstreams);
+  });
+}
+
+void EntryFront::WithPolicy(std::function<void(RoutePolicy*)> message) {
+  this->thread->Post(
+      [this, message = std::move(message)] { message(this->policy.get()); });
+}
+
+void EntryFront::Drain(std::function<void()> done) {
+  this->thread->Post([this, done = std::move(done)]() mutable {
+    this->BeginDrain(std::move(done));
+  });
+}
+
+void EntryFront::Stop() {
+  this->thread->Call([this] { this->StopAll(); });
+}
+
+std::vector<std::string> EntryFront::Explain(const RequestId& id) {
+  return this->thread->Call([&] { return this->decisions.Find(id); });
+}
+
+void EntryFront::OnExchange(HttpExchange* exchange) {
+  const absl::Time now = absl::Now();
+  const RequestId id = {this->options.incarnation,
+                        ++this->last_number * kMaxShards + this->options.shard};
+  Result<RequestHead> head = ParseRequestHead(exchange, *this->document, now);
+  auto request = std::make_unique<Request>(
+      this->chart, head.has_value() && head.value().idempotent);
+  Request* added = request.get();
+  added->id = id;
+  added->exchange = exchange;
+  added->arrived = now;
+  this->requests[id.number] = std::move(request);
+  if (exchange->limit != HttpLimit::kNone) {
+    this->FailWith(added, ErrorOf(exchange->limit), "");
+    return;
+  }
+  if (!head) {
+    this->FailWith(added, static_cast<EntryError>(head.error().value()), "");
+    return;
+  }
+  added->head = std::move(head.value());
+  if (added->head.deadline <= now) {
+    this->FailWith(added, EntryError::kDeadlinePassed, "");
+    return;
+  }
+  if (exchange->body.size() > kMaxChunkBytes) {
+    added->large_body =
+        std::make_shared<const std::string>(std::move(exchange->body));
+  }
+  this->timers.Add(added->head.deadline, {id.number, TimerKind::kDeadline});
+  this->ArmTimer();
+  if (!added->head.idempotent && !added->head.idempotency_key.empty())
+    this->Claim(added);
+  else
+    this->Route(added, SendReason::kFirst);
+}
+
+void EntryFront::Claim(Request* request) {
+  if (this->claims == nullptr) {
+    this->FailWith(request, EntryError::kKeyStoreDown, "");
+    return;
+  }
+  request->claiming = true;
+  const uint64_t number = request->id.number;
+  this->claims->Claim(request->head.request_class.account,
+                      request->head.idempotency_key, request->id,
+                      request->head.deadline,
+                      [this, thread = this->thread, number,
+                       alive = std::weak_ptr(this->alive)](ClaimResult result) {
+                        thread->Post([this, number, alive, result] {
+                          if (!alive.expired())
+                            this->OnClaimed(number, result);
+                        });
+                      });
+}
+
+void EntryFront::OnClaimed(uint64_t number, ClaimResult result) {
+  const auto found = this->requests.find(number);
+  // A claim that comes after the deadline stays: the row is no obstacle, since
+  // the caller was told that the request was not run only after Release().
+  if (found == this->requests.end())
+    return;
+  Request* request = found->second.get();
+  request->claiming = false;
+  switch (result) {
+    case ClaimResult::kClaimed:
+      request->claimed = true;
+      this->Route(request, SendReason::kFirst);
+      return;
+    case ClaimResult::kTaken:
+      this->FailWith(request, EntryError::kKeyTaken, "");
+      return;
+    case ClaimResult::kUnavailable:
+      this->FailWith(request, EntryError::kKeyStoreDown, "");
+      return;
+  }
+}
+
+void EntryFront::FailWith(Request* request,
+                          EntryError error,
+                          std::string_view detail) {
+  const Outcome outcome = request->attempts.GiveUp();
+  this->LogOutcome(*request, outcome, CodeOf(error));
+  this->Finish(request, MakeErrorReply(error, outcome, request->id, detail),
+               outcome);
+}
+
+void EntryFront::Finish(Request* request, HttpReply&& reply, Outcome outcome) {
+  switch (outcome) {
+    case Outcome::kAnswered:
+      this->answered_total.Add();
+      break;
+    case Outcome::kNotRun:
+      this->not_run_total.Add();
+      break;
+    case Outcome::kUnknown:
+      this->unknown_total.Add();
+      break;
+  }
+  const absl::Time now = absl::Now();
+  this->seconds.Observe(absl::ToDoubleSeconds(now - request->arrived));
+  if (!request->cancelling)
+    this->CancelOutstanding(request);
+  while (!request->outstanding.empty()) {
+    const Attempt& attempt = request->outstanding.back();
+    this->policy->OnAbandoned(attempt.agent->endpoint.name, now);
+    this->RemoveAttempt(request, attempt.number);
+  }
+  if (this->claims != nullptr && outcome == Outcome::kNotRun &&
+      (request->claimed || request->claiming)) {
+    this->claims->Release(request->head.request_class.account,
+                          request->head.idempotency_key, request->id);
+  }
+  HttpExchange* exchange = request->exchange;
+  this->requests.erase(request->id.number);
+  this->timers.Compact(this->requests.size(), [this](const TimerKey& key) {
+    return this->requests.contains(key.number);
+  });
+  this->front->Answer(exchange, std::move(reply));
+}
+
+void EntryFront::ArmTimer() {
+  const absl::Time next = this->timers.Next();
+  if (next >= this->armed)
+    return;
+  this->armed = next;
+  this->timer.expires_after(absl::ToChronoMicroseconds(next - absl::Now()));
+  this->timer.async_wait([this](std::error_code error) {
+    if (!error && !this->stopped)
+      this->OnTimer();
+  });
+}
+
+void EntryFront::OnTimer() {
+  const absl::Time now = absl::Now();
+  this->armed = absl::InfiniteFuture();
+  while (const std::optional<TimerKey> key = this->timers.PopDue(now)) {
+    const auto found = this->requests.find(key->number);
+    if (found == this->requests.end())
+      continue;
+    Request* request = found->second.get();
+    switch (key->kind) {
+      case TimerKind::kDeadline:
+        this->OnDeadline(request);
+        break;
+      case TimerKind::kHedge:
+        this->Hedge(request);
+        break;
+      case TimerKind::kGrace:
+        this->OnGraceEnded(request);
+        break;
+    }
+  }
+  this->ArmTimer();
+}
+
+// The agents are asked to cancel what has not started. Their refusals make it
+// certain that the request was not run; the wait for them is short.
+void EntryFront::OnDeadline(Request* request) {
+  if (request->outstanding.empty()) {
+    this->EndUnanswered(request);
+    return;
+  }
+  request->cancelling = true;
+  this->CancelOutstanding(request);
+  this->timers.Add(
+      absl::Now() + absl::Milliseconds(this->options.cancel_grace_ms),
+      {request->id.number, TimerKind::kGrace});
+}
+
+void EntryFront::OnGraceEnded(Request* request) {
+  this->EndUnanswered(request);
+}
+
+void EntryFront::BeginDrain(std::function<void()> done) {
+  if (this->drain_done)
+    return;
+  this->drain_done = std::move(done);
+  this->drain_until =
+      absl::Now() + absl::Milliseconds(this->options.drain_grace_ms);
+  this->front->CloseConnectionsAfterAnswers();
+  this->PollDrain();
+}
+
+// Callers with a connection of their own learn of the end by the header
+// "Connection: close" of an answer, so connections end without a request on
+// its way, but for those that are idle all through the grace period.
+void EntryFront::PollDrain() {
+  this->drain_timer.expires_after(kDrainPoll);
+  this->drain_timer.async_wait([this](std::error_code error) {
+    if (error || this->stopped)
+      return;
+    const absl::Time now = absl::Now();
+    if (now >= this->drain_until)
+      this->front->StopListening();
+    const absl::Time linger_until =
+        this->drain_until + absl::Milliseconds(this->options.drain_linger_ms);
+    const bool is_idle =
+        this->requests.empty() && this->front->OpenCount() == 0;
+    if (is_idle && now >= this->drain_until &&
+        (this->front->ConnectionCount() == 0 || now >= linger_until))
+      this->EndDrain();
+    else
+      this->PollDrain();
+  });
+}
+
+void EntryFront::EndDrain() {
+  const std::function<void()> done = std::move(this->drain_done);
+  this->drain_done = nullptr;
+  done();
+}
+
+void EntryFront::StopAll() {
+  if (this->stopped)
+    return;
+  this->stopped = true;
+  this->timer.cancel();
+  this->drain_timer.cancel();
+  std::vector<uint64_t> open;
+  for (const auto& [number, request] : this->requests)
+    open.push_back(number);
+  for (const uint64_t number : open) {
+    Request* request = this->requests[number].get();
+    const bool is_certain = request->attempts.GiveUp() == Outcome::kNotRun;
+    this->FailWith(
+        request, is_certain ? EntryError::kStopping : EntryError::kBroken, "");
+  }
+  std::vector<std::shared_ptr<Agent>> closing;
+  for (const auto& [name, agent] : this->agents)
+    closing.push_back(agent);
+  for (const auto& [link, agent] : this->by_link)
+    closing.push_back(agent);
+  for (const std::shared_ptr<Agent>& agent : closing)
+    this->CloseAgent(agent.get());
+  this->agents.clear();
+  this->front->Stop();
+}
+
+}  // namespace cuminjunction
--- /dev/null
+++ b/request/entry_links.cc
@@ -0,0 +1,271 @@
+// Connections of an entry shard to agents, and what arrives on them.
+
+#include <boost/asio/ip/address.hpp>
+
+#include "request/entry_state.h"
+
+namespace cuminjunction {
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+}  // namespace
+
+void EntryFront::ApplyUpstreams(
+    const std::vector<UpstreamEndpoint>& upstreams) {
+  if (this->stopped)
+    return;
+  absl::flat_hash_map<std::string, std::shared_ptr<Agent>> kept;
+  std::vector<std::shared_ptr<Agent>> added;
+  for (const UpstreamEndpoint& endpoint : upstreams) {
+    const auto found = this->agents.find(endpoint.name);
+    if (found != this->agents.end() &&
+        found->second->endpoint.host == endpoint.host &&
+        found->second->endpoint.port == endpoint.port) {
+      found->second->endpoint = endpoint;
+      kept[endpoint.name] = found->second;
+      this->agents.erase(found);
+      continue;
+    }
+    auto agent = std::make_shared<Agent>(&this->thread->Context(), endpoint);
+    kept[endpoint.name] = agent;
+    added.push_back(std::move(agent));
+  }
+  this->agents.swap(kept);
+  for (const auto& [name, agent] : kept) {
+    agent->retired = true;
+    agent->ready = false;
+    this->CloseIfUnused(agent.get());
+  }
+  for (const std::shared_ptr<Agent>& agent : added)
+    this->Connect(agent);
+  this->policy->SetUpstreams(upstreams);
+  this->UpdateUnusable();
+}
+
+void EntryFront::Connect(const std::shared_ptr<Agent>& agent) {
+  boost::system::error_code error;
+  const auto address =
+      boost::asio::ip::make_address(agent->endpoint.host, error);
+  if (error) {
+    this->log->Write(LogLine("agent_address_bad", LogLevel::kError)
+                         .Add("upstream", agent->endpoint.name)
+                         .Add("host", agent->endpoint.host));
+    return;
+  }
+  agent->leaving = false;
+  agent->socket = tcp::socket(this->thread->Context());
+  agent->socket.async_connect(tcp::endpoint(address, agent->endpoint.port),
+                              [this, agent](std::error_code failure) {
+                                if (this->stopped || agent->retired)
+                                  return;
+                                if (failure)
+                                  this->ConnectLater(agent);
+                                else
+                                  this->OnConnected(agent);
+                              });
+}
+
+void EntryFront::ConnectLater(const std::shared_ptr<Agent>& agent) {
+  agent->timer.expires_after(
+      std::chrono::milliseconds(this->options.reconnect_ms));
+  agent->timer.async_wait([this, agent](std::error_code error) {
+    if (!error && !this->stopped && !agent->retired)
+      this->Connect(agent);
+  });
+}
+
+void EntryFront::OnConnected(const std::shared_ptr<Agent>& agent) {
+  agent->link = std::make_shared<Link>(std::move(agent->socket), this);
+  this->by_link[agent->link.get()] = agent;
+  agent->link->Start();
+  agent->link->Send(Hello{kProtocolVersion, this->options.process,
+                          this->options.incarnation});
+}
+
+void EntryFront::OnMessage(Link* link, Message&& message) {
+  const auto found = this->by_link.find(link);
+  if (found == this->by_link.end())
+    return;
+  const std::shared_ptr<Agent> agent = found->second;
+  if (!agent->ready && !agent->leaving && !agent->retired &&
+      !std::holds_alternative<Hello>(message)) {
+    link->Close();
+    this->OnClosed(link, MessageError::kUnexpected);
+    return;
+  }
+  std::visit(
+      [&]<class T>(T&& body) {
+        this->Handle(agent.get(), std::forward<T>(body));
+      },
+      std::move(message));
+}
+
+void EntryFront::OnClosed(Link* link, std::error_code error) {
+  const auto found = this->by_link.find(link);
+  if (found == this->by_link.end())
+    return;
+  const std::shared_ptr<Agent> agent = found->second;
+  this->by_link.erase(found);
+  this->Lose(agent, error);
+}
+
+// Attempts whose Submit was never passed to the system certainly have not run;
+// all others may have.
+void EntryFront::Lose(const std::shared_ptr<Agent>& agent,
+                      std::error_code error) {
+  const LogLevel level = IsDamage(error) ? LogLevel::kWarning : LogLevel::kInfo;
+  if (IsDamage(error))
+    this->damaged_total.Add();
+  this->log->Write(LogLine("agent_connection_lost", level)
+                       .Add("upstream", agent->endpoint.name)
+                       .Add("error", error));
+  agent->ready = false;
+  this->UpdateUnusable();
+  const std::shared_ptr<Link> link = std::move(agent->link);
+  agent->link = nullptr;
+  std::vector<std::pair<uint64_t, Attempt*>> lost;
+  for (const auto& [number, request] : this->requests) {
+    for (Attempt& attempt : request->outstanding) {
+      if (attempt.agent == agent)
+        lost.emplace_back(number, &attempt);
+    }
+  }
+  const absl::Time now = absl::Now();
+  for (const auto& [number, attempt] : lost) {
+    const uint32_t attempt_number = attempt->number;
+    Request* request = this->requests[number].get();
+    this->policy->OnFailure(agent->endpoint.name, now);
+    if (link->IsOffered(attempt->position))
+      this->OnAttemptBroken(request, attempt_number);
+    else
+      this->OnAttemptRefused(request, attempt_number, Refusal::kUpstreamDown);
+  }
+  if (!agent->retired && !this->stopped)
+    this->ConnectLater(agent);
+}
+
+void EntryFront::CloseAgent(Agent* agent) {
+  agent->retired = true;
+  agent->ready = false;
+  agent->timer.cancel();
+  boost::system::error_code ignored;
+  agent->socket.close(ignored);
+  if (agent->link) {
+    agent->link->CloseAfterWriting();
+    this->by_link.erase(agent->link.get());
+  }
+}
+
+// Ends a connection that gets no new attempts once its last one has ended.
+// The agent waits for this before it exits, so that no Submit is lost on the
+// way to it.
+void EntryFront::CloseIfUnused(Agent* agent) {
+  if (agent->outstanding > 0)
+    return;
+  if (agent->retired) {
+    this->CloseAgent(agent);
+    return;
+  }
+  if (!agent->leaving || !agent->link)
+    return;
+  const auto found = this->by_link.find(agent->link.get());
+  if (found == this->by_link.end())
+    return;
+  const std::shared_ptr<Agent> kept = found->second;
+  this->by_link.erase(found);
+  agent->link->CloseAfterWriting();
+  agent->link = nullptr;
+  this->ConnectLater(kept);
+}
+
+void EntryFront::UpdateUnusable() {
+  this->unusable.clear();
+  for (const auto& [name, agent] : this->agents) {
+    if (!agent->ready)
+      this->unusable.push_back(name);
+  }
+  this->ready_count = this->agents.size() - this->unusable.size();
+}
+
+template <class T>
+void EntryFront::Handle(Agent* agent, T&& /*message*/) {
+  const std::shared_ptr<Link> link = agent->link;
+  link->Close();
+  this->OnClosed(link.get(), MessageError::kUnexpected);
+}
+
+void EntryFront::Handle(Agent* agent, Hello&& hello) {
+  const std::shared_ptr<Link> link = agent->link;
+  if (agent->ready || hello.process != agent->endpoint.name) {
+    link->Close();
+    this->OnClosed(link.get(), MessageError::kWrongPeer);
+    return;
+  }
+  agent->ready = !agent->retired;
+  this->UpdateUnusable();
+}
+
+void EntryFront::Handle(Agent* agent, Leaving&& /*leaving*/) {
+  agent->ready = false;
+  agent->leaving = true;
+  this->UpdateUnusable();
+  this->CloseIfUnused(agent);
+}
+
+void EntryFront::Handle(Agent* agent, AnswerHead&& head) {
+  const auto [request, attempt] = this->Find(agent, head.id);
+  if (attempt == nullptr || attempt->has_head) {
+    this->late_total.Add();
+    return;
+  }
+  attempt->has_head = true;
+  attempt->answer = std::move(head);
+  if (attempt->answer.bytes.size() == attempt->answer.body_size)
+    this->OnWholeAnswer(request, attempt);
+  else
+    attempt->answer.bytes.reserve(attempt->answer.body_size);
+}
+
+void EntryFront::Handle(Agent* agent, AnswerChunk&& chunk) {
+  const auto [request, attempt] = this->Find(agent, chunk.id);
+  if (attempt == nullptr) {
+    this->late_total.Add();
+    return;
+  }
+  std::string& body = attempt->answer.bytes;
+  body.append(chunk.bytes);
+  const bool complete = body.size() == attempt->answer.body_size;
+  if (!attempt->has_head || body.size() > attempt->answer.body_size ||
+      chunk.last != complete) {
+    const std::shared_ptr<Link> link = agent->link;
+    link->Close();
+    this->OnClosed(link.get(), MessageError::kBadField);
+    return;
+  }
+  if (complete)
+    this->OnWholeAnswer(request, attempt);
+}
+
+void EntryFront::Handle(Agent* agent, AnswerBroken&& broken) {
+  const auto [request, attempt] = this->Find(agent, broken.id);
+  if (attempt == nullptr) {
+    this->late_total.Add();
+    return;
+  }
+  this->policy->OnFailure(agent->endpoint.name, absl::Now());
+  this->OnAttemptBroken(request, broken.id.attempt);
+}
+
+void EntryFront::Handle(Agent* agent, Refused&& refused) {
+  const auto [request, attempt] = this->Find(agent, refused.id);
+  if (attempt == nullptr) {
+    this->late_total.Add();
+    return;
+  }
+  this->policy->OnRefused(agent->endpoint.name, refused.reason, absl::Now());
+  this->OnAttemptRefused(request, refused.id.attempt, refused.reason);
+}
+
+}  // namespace cuminjunction
--- /dev/null
+++ b/request/link.cc
@@ -0,0 +1,187 @@
+#include "request/link.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+
+namespace cuminjunction {
+
+namespace {
+
+constexpr size_t kReadBytes = 256 * 1024;
+
+// Chunks of bodies are added to a write up to this many bytes, which keeps the
+// delay of a small message behind them below 0.1 ms on a fast network.
+constexpr size_t kBatchBytes = 256 * 1024;
+
+}  // namespace
+
+bool IsDamage(std::error_code error) {
+  const std::error_category& category = error.category();
+  return category == make_error_code(FrameError::kChecksum).category() ||
+         category == make_error_code(CodecError::kTruncated).category() ||
+         category == make_error_code(MessageError::kEmpty).category();
+}
+
+Link::Link(boost::asio::ip::tcp::socket socket, LinkHandler* handler)
+    : socket(std::move(socket)),
+      handler(handler),
+      read_buffer(std::make_unique<char[]>(kReadBytes)) {}
+
+void Link::Start() {
+  boost::system::error_code ignored;
+  this->socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+  this->Read();
+}
+
+void Link::SendBody(const AttemptId& id,
+                    BodyKind kind,
+                    std::shared_ptr<const std::string> bytes,
+                    size_t offset) {
+  this->body_bytes += bytes->size() - offset;
+  this->bodies.push_back({id, kind, std::move(bytes), offset});
+  this->ScheduleFlush();
+}
+
+void Link::DropBody(const AttemptId& id) {
+  std::erase_if(this->bodies, [&](const Body& body) {
+    if (body.id != id)
+      return false;
+    this->body_bytes -= body.bytes->size() - body.offset;
+    return true;
+  });
+}
+
+size_t Link::PendingBytes() const {
+  return this->queued.size() + this->writing.size() + this->body_bytes;
+}
+
+void Link::Close() {
+  this->handler = nullptr;
+  boost::system::error_code ignored;
+  this->socket.close(ignored);
+}
+
+void Link::CloseAfterWriting() {
+  this->handler = nullptr;
+  this->closing = true;
+  this->ScheduleFlush();
+}
+
+void Link::ScheduleFlush() {
+  if (this->flush_scheduled || this->write_active)
+    return;
+  this->flush_scheduled = true;
+  boost::asio::post(this->socket.get_executor(),
+                    [self = this->shared_from_this()] {
+                      self->flush_scheduled = false;
+                      self->Flush();
+                    });
+}
+
+void Link::Flush() {
+  if (this->write_active || !this->socket.is_open())
+    return;
+  this->writing.clear();
+  this->writing.swap(this->queued);
+  this->AppendChunks();
+  if (this->writing.empty()) {
+    if (this->closing)
+      this->Close();
+    return;
+  }
+  this->offered += this->writing.size();
+  this->write_active = true;
+  boost::asio::async_write(
+      this->socket, boost::asio::buffer(this->writing),
+      [self = this->shared_from_this()](std::error_code error, size_t) {
+        self->OnWritten(error);
+      });
+}
+
+void Link::AppendChunks() {
+  while (!this->bodies.empty() && this->writing.size() < kBatchBytes) {
+    Body body = std::move(this->bodies.front());
+    this->bodies.pop_front();
+    this->AppendChunk(&body);
+    if (body.offset < body.bytes->size())
+      this->bodies.push_back(std::move(body));
+  }
+}
+
+void Link::AppendChunk(Body* body) {
+  const size_t size =
+      std::min(kMaxChunkBytes, body->bytes->size() - body->offset);
+  const bool last = body->offset + size == body->bytes->size();
+  this->scratch.clear();
+  if (body->kind == BodyKind::kRequest) {
+    AppendMessage(
+        BodyChunk{body->id, last, body->bytes->substr(body->offset, size)},
+        &this->scratch);
+  } else {
+    AppendMessage(
+        AnswerChunk{body->id, last, body->bytes->substr(body->offset, size)},
+        &this->scratch);
+  }
+  AppendFrame(this->scratch, &this->writing);
+  body->offset += size;
+  this->body_bytes -= size;
+}
+
+void Link::OnWritten(std::error_code error) {
+  this->write_active = false;
+  this->writing.clear();
+  if (error) {
+    this->Fail(error);
+    return;
+  }
+  this->Flush();
+}
+
+void Link::Read() {
+  this->socket.async_read_some(
+      boost::asio::buffer(this->read_buffer.get(), kReadBytes),
+      [self = this->shared_from_this()](std::error_code error, size_t size) {
+        self->OnRead(error, size);
+      });
+}
+
+void Link::OnRead(std::error_code error, size_t size) {
+  if (error) {
+    this->Fail(error);
+    return;
+  }
+  if (this->handler == nullptr)
+    return;
+  this->reader.Append(std::string_view(this->read_buffer.get(), size));
+  this->Dispatch();
+  if (this->socket.is_open())
+    this->Read();
+}
+
+void Link::Dispatch() {
+  while (this->handler != nullptr) {
+    Result<std::optional<std::string_view>> payload = this->reader.Next();
+    if (!payload) {
+      this->Fail(payload.error());
+      return;
+    }
+    if (!payload.value())
+      return;
+    Result<Message> message = ReadMessage(*payload.value());
+    if (!message) {
+      this->Fail(message.error());
+      return;
+    }
+    this->handler->OnMessage(this, std::move(message.value()));
+  }
+}
+
+void Link::Fail(std::error_code error) {
+  LinkHandler* last_handler = this->handler;
+  this->Close();
+  if (last_handler != nullptr)
+    last_handler->OnClosed(this, error);
+}
+
+}  // namespace cuminjunction
--- /dev/null
+++ b/request/message.cc
@@ -0,0 +1,208 @@
+#include "request/message.h"
+
+#include <charconv>
+
+#include "base/strings.h"
+
+namespace cuminjunction {
+
+namespace {
+
+// Names of processes, accounts, services and methods.
+constexpr size_t kMaxNameBytes = 256;
+
+// Colon, space and line end of a header line.
+constexpr size_t kHeaderLineOverhead = 4;
+
+bool IsText(std::string_view text) {
+  for (const char c : text) {
+    const auto byte = static_cast<unsigned char>(c);
+    if ((byte < 0x20 && byte != '\t') || byte == 0x7f)
+      return false;
+  }
+  return true;
+}
+
+// Printable ASCII without a space, as a method or a path needs.
+bool IsWord(std::string_view text) {
+  for (const char c : text) {
+    const auto byte = static_cast<unsigned char>(c);
+    if (byte <= 0x20 || byte >= 0x7f)
+      return false;
+  }
+  return !text.empty();
+}
+
+bool IsName(std::string_view text) {
+  return text.size() <= kMaxNameBytes && IsText(text);
+}
+
+bool IsHeaderList(const HeaderList& headers) {
+  for (const auto& [name, value] : headers) {
+    if (!IsWord(name) || name.find(':') != std::string::npos || !IsText(value))
+      return false;
+  }
+  return true;
+}
+
+bool IsId(const AttemptId& id) {
+  return id.request.entry_incarnation > 0 && id.request.number > 0 &&
+         id.attempt > 0;
+}
+
+Status Check(bool good) {
+  if (!good)
+    return MessageError::kBadField;
+  return Ok();
+}
+
+// The first bytes of a body fill a chunk when more bytes follow.
+Status CheckBody(uint64_t body_size, size_t first) {
+  if (body_size > kMaxBodyBytes || first > kMaxChunkBytes)
+    return MessageError::kTooLarge;
+  return Check(first <= body_size && (first > 0 || body_size == 0));
+}
+
+Status CheckChunk(const AttemptId& id, size_t size) {
+  if (size > kMaxChunkBytes)
+    return MessageError::kTooLarge;
+  return Check(IsId(id) && size > 0);
+}
+
+Status CheckFields(const Hello& message) {
+  return Check(message.protocol == kProtocolVersion &&
+               message.incarnation > 0 && IsName(message.process));
+}
+
+Status CheckFields(const Submit& message) {
+  if (HeaderBytes(message.headers) + message.path.size() > kMaxHeaderBytes)
+    return MessageError::kTooLarge;
+  BOOST_OUTCOME_TRY(CheckBody(message.body_size, message.bytes.size()));
+  return Check(IsId(message.id) && IsName(message.account) &&
+               IsName(message.service) && message.urgency <= Urgency::kBatch &&
+               IsName(message.method) && IsWord(message.method) &&
+               IsWord(message.path) && message.path.front() == '/' &&
+               IsHeaderList(message.headers));
+}
+
+Status CheckFields(const BodyChunk& message) {
+  return CheckChunk(message.id, message.bytes.size());
+}
+
+Status CheckFields(const AnswerHead& message) {
+  if (HeaderBytes(message.headers) > kMaxHeaderBytes)
+    return MessageError::kTooLarge;
+  BOOST_OUTCOME_TRY(CheckBody(message.body_size, message.bytes.size()));
+  return Check(IsId(message.id) && message.status >= 200 &&
+               message.status <= 999 && IsHeaderList(message.headers));
+}
+
+Status CheckFields(const AnswerChunk& message) {
+  return CheckChunk(message.id, message.bytes.size());
+}
+
+Status CheckFields(const AnswerBroken& message) {
+  return Check(IsId(message.id) && message.reason <= BrokenReason::kCancelled);
+}
+
+Status CheckFields(const Refused& message) {
+  return Check(IsId(message.id) && message.reason != Refusal::kNone &&
+               message.reason <= Refusal::kLimit);
+}
+
+Status CheckFields(const Cancel& message) {
+  return Check(IsId(message.id));
+}
+
+Status CheckFields(const Leaving& /*message*/) {
+  return Ok();
+}
+
+template <class T>
+Result<Message> Read(std::string_view bytes) {
+  BOOST_OUTCOME_TRY(message, Decode<T>(bytes));
+  BOOST_OUTCOME_TRY(CheckFields(message));
+  return Message(std::move(message));
+}
+
+template <size_t kIndex = 0>
+Result<Message> ReadTagged(size_t index, std::string_view bytes) {
+  if constexpr (kIndex < std::variant_size_v<Message>) {
+    if (index == kIndex)
+      return Read<std::variant_alternative_t<kIndex, Message>>(bytes);
+    return ReadTagged<kIndex + 1>(index, bytes);
+  } else {
+    return MessageError::kUnknownTag;
+  }
+}
+
+}  // namespace
+
+std::string_view ErrorTraits<MessageError>::Message(MessageError error) {
+  switch (error) {
+    case MessageError::kEmpty:
+      return "message is empty";
+    case MessageError::kUnknownTag:
+      return "message tag is not known";
+    case MessageError::kBadField:
+      return "message has a field out of its range";
+    case MessageError::kTooLarge:
+      return "message is above a limit of size";
+    case MessageError::kUnexpected:
+      return "message is not allowed at this point";
+    case MessageError::kWrongPeer:
+      return "peer is not the expected process";
+  }
+  return "unknown message error";
+}
+
+size_t HeaderBytes(const HeaderList& headers) {
+  size_t bytes = 0;
+  for (const auto& [name, value] : headers)
+    bytes += name.size() + value.size() + kHeaderLineOverhead;
+  return bytes;
+}
+
+std::string_view ToString(BrokenReason reason) {
+  switch (reason) {
+    case BrokenReason::kCutOff:
+      return "cut-off";
+    case BrokenReason::kTooLarge:
+      return "too-large";
+    case BrokenReason::kDeadline:
+      return "deadline";
+    case BrokenReason::kCancelled:
+      return "cancelled";
+  }
+  return "cut-off";
+}
+
+Result<Message> ReadMessage(std::string_view payload) {
+  if (payload.empty())
+    return MessageError::kEmpty;
+  const auto tag = static_cast<unsigned char>(payload.front());
+  if (tag == 0)
+    return MessageError::kUnknownTag;
+  return ReadTagged(tag - 1, payload.substr(1));
+}
+
+std::string ToString(const RequestId& id) {
+  return StrCat(id.entry_incarnation, "-", id.number);
+}
+
+Result<RequestId> ParseRequestId(std::string_view text) {
+  const size_t dash = text.find('-');
+  if (dash == std::string_view::npos)
+    return MessageError::kBadField;
+  RequestId id;
+  const char* middle = text.data() + dash;
+  const char* end = text.data() + text.size();
+  const auto first = std::from_chars(text.data(), middle, id.entry_incarnation);
+  const auto second = std::from_chars(middle + 1, end, id.number);
+  if (first.ec != std::errc() || first.ptr != middle ||
+      second.ec != std::errc() || second.ptr != end)
+    return MessageError::kBadField;
+  return id;
+}
+
+}  // namespace cuminjunction
--- /dev/null
+++ b/request/upstream_caller.h
@@ -0,0 +1,136 @@
+#ifndef REQUEST_UPSTREAM_CALLER_H_
+#define REQUEST_UPSTREAM_CALLER_H_
+
+// Calls of an agent to its upstream with libcurl's multi interface on an event
+// loop.
+//
+//   UpstreamCaller caller(&context, options,
+//                         [](uint64_t call, UpstreamAnswer&& answer) { ... });
+//   caller.Start(7, {"GET", "/x", headers, body, true, deadline_after});
+//
+// Only whole answers count as answered. A connection that could not be opened
+// is told apart from one that broke, since the first means for certain that
+// the upstream did not see the request.
+
+#include <curl/curl.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/posix/stream_descriptor.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+#include "request/message.h"
+
+namespace cuminjunction {
+
+struct UpstreamCallerOptions {
+  std::string host = "127.0.0.1";
+  uint16_t port = 0;
+  // The most TCP connections to the upstream.
+  int connections = 64;
+  // Limit for opening a connection, in milliseconds.
+  int connect_timeout_ms = 1000;
+};
+
+struct UpstreamCall {
+  std::string method;
+  // Path with query, starting with '/'.
+  std::string path;
+  HeaderList headers;
+  std::string body;
+  bool idempotent = false;
+  // How long the answer may take.
+  absl::Duration timeout;
+};
+
+enum class CallResult : uint8_t {
+  // The whole answer was received.
+  kAnswered,
+  // No connection could be opened: the upstream has not seen the call.
+  kNotStarted,
+  kCutOff,
+  kTooLarge,
+  kTimeout,
+};
+
+struct UpstreamAnswer {
+  CallResult result = CallResult::kCutOff;
+  uint32_t status = 0;
+  HeaderList headers;
+  std::string body;
+};
+
+class UpstreamCaller {
+ public:
+  using Done = std::function<void(uint64_t call, UpstreamAnswer&& answer)>;
+
+  // `done` is called on the event loop for each call that was started and not
+  // aborted, never from within Start() or Abort().
+  UpstreamCaller(boost::asio::io_context* context,
+                 const UpstreamCallerOptions& options,
+                 Done done);
+  ~UpstreamCaller();
+  UpstreamCaller(const UpstreamCaller&) = delete;
+  UpstreamCaller& operator=(const UpstreamCaller&) = delete;
+
+  // Starts a call under a number that no running call has.
+  void Start(uint64_t call, UpstreamCall request);
+
+  // Ends a call without a report; its connection is closed.
+  void Abort(uint64_t call);
+
+  size_t RunningCount() const { return this->transfers.size(); }
+
+ private:
+  struct Transfer;
+  struct Socket;
+
+  std::unique_ptr<Transfer> TakeTransfer();
+  void Prepare(Transfer* transfer);
+  void PrepareBody(Transfer* transfer);
+  void Release(std::unique_ptr<Transfer> transfer);
+  void Act(curl_socket_t socket, int events);
+  void ReportFinished();
+  void Finish(CURL* easy, CURLcode code);
+  void ArmTimer(int64_t timeout_ms);
+  void Wait(const std::shared_ptr<Socket>& socket);
+  void WaitFor(const std::shared_ptr<Socket>& socket, int event);
+
+  static int OnSocket(CURL* easy,
+                      curl_socket_t fd,
+                      int what,
+                      void* self,
+                      void* socket);
+  static int OnTimer(CURLM* multi, long timeout_ms, void* self);
+  static curl_socket_t OnOpen(void* self,
+                              curlsocktype purpose,
+                              curl_sockaddr* address);
+  static int OnClose(void* self, curl_socket_t fd);
+  static size_t OnHeader(char* data, size_t size, size_t count, void* transfer);
+  static size_t OnBody(char* data, size_t size, size_t count, void* transfer);
+
+  boost::asio::io_context* context;
+  UpstreamCallerOptions options;
+  Done done;
+  std::string base_url;
+  CURLM* multi;
+  boost::asio::steady_timer timer;
+  bool act_posted = false;
+  // Ends with this object, for messages that were posted before.
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+  // Set while the destructor runs, when callbacks must not touch the loop.
+  bool ending = false;
+  absl::flat_hash_map<uint64_t, std::unique_ptr<Transfer>> transfers;
+  std::vector<std::unique_ptr<Transfer>> idle;
+  absl::flat_hash_map<curl_socket_t, std::shared_ptr<Socket>> sockets;
+};
+
+}  // namespace cuminjunction
+
+#endif  // REQUEST_UPSTREAM_CALLER_H_
