Rename options and the queue concept that share a name

Cause: membership and request both named EntryOptions and AgentOptions, and request named a class and a concept AgentQueue; two definitions in one namespace break the one-definition rule when a program links both. Change: GossipOptions, HeartbeatOptions and AdmissionQueue; the daemon's settings use membership's Role. Conclusion: the daemon can include all modules.

--- a/bench/flood_high_bench.cc
+++ b/bench/flood_high_bench.cc
@@ -54,7 +54,7 @@
   return least;
 }
 
-template <Chooser C, AgentQueue Q>
+template <Chooser C, AdmissionQueue Q>
 Comparison Compare(uint64_t seed) {
   const SimSetup with_flood = MakeSetup(seed, true);
   const SimResult calm = RouteSim<C, Q>(MakeSetup(seed, false)).Run();
--- a/bench/flood_low_bench.cc
+++ b/bench/flood_low_bench.cc
@@ -32,7 +32,7 @@
   double batch_served = 0;
 };
 
-template <Chooser C, AgentQueue Q>
+template <Chooser C, AdmissionQueue Q>
 Comparison Compare(uint64_t seed) {
   const SimSetup with_flood = MakeSetup(seed, true);
   const SimResult calm = RouteSim<C, Q>(MakeSetup(seed, false)).Run();
--- a/bench/members_bench.cc
+++ b/bench/members_bench.cc
@@ -243,7 +243,7 @@
   }
 
   void AddEntry(Topology topology, const Chart& chart, size_t index) {
-    EntryOptions options;
+    GossipOptions options;
     // Four entries in each region, over its failure domains.
     const std::array<size_t, 12> domains = {0, 1, 2, 0, 3, 4, 5, 3, 6, 6, 6, 6};
     const std::string name = StrCat("entry-", index);
@@ -271,7 +271,7 @@
   }
 
   void AddAgent(size_t index) {
-    AgentOptions options;
+    HeartbeatOptions options;
     options.self = this->MakeSelf(StrCat("agent-", index), Role::kAgent,
                                   index % kDomains.size());
     options.seeds = this->seeds;
--- a/bench/route_sim.h
+++ b/bench/route_sim.h
@@ -42,7 +42,7 @@
     return C(settings, link);
 }
 
-template <Chooser C, AgentQueue Q>
+template <Chooser C, AdmissionQueue Q>
 class RouteSim {
  public:
   explicit RouteSim(const SimSetup& setup)
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -14,11 +14,10 @@
 #include "base/error.h"
 #include "base/yaml.h"
 #include "config/document.h"
+#include "membership/member.h"
 
 namespace cuminjunction {
 
-enum class Role { kEntry, kAgent };
-
 // An IPv4 address and port.
 struct Endpoint {
   std::string host;
--- a/membership/agent_heartbeat.cc
+++ b/membership/agent_heartbeat.cc
@@ -17,7 +17,7 @@
 }  // namespace
 
 AgentHeartbeat::AgentHeartbeat(EventThread* thread,
-                               const AgentOptions& options,
+                               const HeartbeatOptions& options,
                                AgentListener listener,
                                Metrics* metrics)
     : options(options),
--- a/membership/agent_heartbeat.h
+++ b/membership/agent_heartbeat.h
@@ -48,7 +48,7 @@
  public:
   // `thread` and `metrics` must outlive this object.
   AgentHeartbeat(EventThread* thread,
-                 const AgentOptions& options,
+                 const HeartbeatOptions& options,
                  AgentListener listener,
                  Metrics* metrics);
 
@@ -109,7 +109,7 @@
   void SendDeparture();
   void FinishDeparture();
 
-  AgentOptions options;
+  HeartbeatOptions options;
   AgentListener listener;
   Member self;
   SteadyClock clock;
--- a/membership/digest_queue.cc
+++ b/membership/digest_queue.cc
@@ -51,13 +51,13 @@
   std::vector<Digest> digests;
 };
 
-int64_t CountSlices(const EntryOptions& options) {
+int64_t CountSlices(const GossipOptions& options) {
   return std::max<int64_t>(1, options.refresh_ms / options.digest_interval_ms);
 }
 
 }  // namespace
 
-DigestQueue::DigestQueue(const EntryOptions& options)
+DigestQueue::DigestQueue(const GossipOptions& options)
     : topology(options.view.topology),
       slices(CountSlices(options)),
       region(options.self.region) {}
--- a/membership/digest_queue.h
+++ b/membership/digest_queue.h
@@ -34,7 +34,7 @@
 
 class DigestQueue {
  public:
-  explicit DigestQueue(const EntryOptions& options);
+  explicit DigestQueue(const GossipOptions& options);
 
   // Takes the changes that this entry has to tell.
   void Add(const std::vector<MemberChange>& changes, const View& view);
--- a/membership/entry_gossip.cc
+++ b/membership/entry_gossip.cc
@@ -28,7 +28,7 @@
 
 EntryGossip::EntryGossip(EventThread* thread,
                          Chart chart,
-                         const EntryOptions& options,
+                         const GossipOptions& options,
                          std::vector<EntryListener> listeners,
                          Metrics* metrics)
     : options(options),
--- a/membership/entry_gossip.h
+++ b/membership/entry_gossip.h
@@ -55,7 +55,7 @@
   // object.
   EntryGossip(EventThread* thread,
               Chart chart,
-              const EntryOptions& options,
+              const GossipOptions& options,
               std::vector<EntryListener> listeners,
               Metrics* metrics);
 
@@ -93,7 +93,7 @@
   void AnnounceDeparture(MemberState state);
   void Send(const std::string& bytes, const UdpAddress& to, bool is_far);
 
-  EntryOptions options;
+  GossipOptions options;
   std::vector<EntryListener> listeners;
   View view;
   DigestQueue queue;
--- a/membership/options.h
+++ b/membership/options.h
@@ -62,7 +62,7 @@
   size_t max_members = 4096;
 };
 
-struct EntryOptions {
+struct GossipOptions {
   // Name, addresses, failure domain and region of this entry. Port 0 lets the
   // kernel choose the UDP port; incarnation 0 takes the time of the start.
   Member self;
@@ -79,8 +79,8 @@
   int64_t seed_interval_ms = 6000;
 };
 
-struct AgentOptions {
-  // As in EntryOptions.
+struct HeartbeatOptions {
+  // As in GossipOptions.
   Member self;
   // Membership addresses of entries to contact until an entry list is known.
   std::vector<UdpAddress> seeds;
--- a/membership/testing/fleet.h
+++ b/membership/testing/fleet.h
@@ -72,7 +72,7 @@
   void AddEntry(const std::string& name,
                 const std::string& region,
                 uint64_t incarnation = 1) {
-    EntryOptions options;
+    GossipOptions options;
     options.self =
         MakeMember(name, Role::kEntry, region, this->next_port++, incarnation);
     options.view.topology = this->topology;
--- a/membership/testing/udp_test.cc
+++ b/membership/testing/udp_test.cc
@@ -38,7 +38,7 @@
   }
 
   EntryGossip& AddEntry(const std::string& name) {
-    EntryOptions options;
+    GossipOptions options;
     options.self = LocalMember(name, Role::kEntry);
     options.seeds = this->seeds;
     options.digest_interval_ms = 100;
@@ -53,7 +53,7 @@
   }
 
   AgentHeartbeat& AddAgent(const std::string& name, Member self) {
-    AgentOptions options;
+    HeartbeatOptions options;
     options.self = std::move(self);
     options.self.name = name;
     options.seeds = this->seeds;
--- a/request/fair_queue.h
+++ b/request/fair_queue.h
@@ -61,11 +61,11 @@
 
 // A queue in front of the slots of one upstream.
 template <class Q>
-concept AgentQueue = requires(Q& queue,
-                              const RequestClass& request_class,
-                              AttemptId id,
-                              absl::Time time,
-                              absl::Duration service_time) {
+concept AdmissionQueue = requires(Q& queue,
+                                  const RequestClass& request_class,
+                                  AttemptId id,
+                                  absl::Time time,
+                                  absl::Duration service_time) {
   { queue.Admit(request_class, 1.0, time, time) } -> std::same_as<Refusal>;
   queue.Push(id, request_class, 1.0, time, time);
   { queue.Pop(time) } -> std::same_as<std::optional<QueueExit>>;
--- a/request/testing/fair_queue_test.cc
+++ b/request/testing/fair_queue_test.cc
@@ -12,9 +12,9 @@
 namespace cuminjunction {
 namespace {
 
-static_assert(AgentQueue<FairQueue>);
-static_assert(AgentQueue<FifoQueue>);
-static_assert(AgentQueue<StrictPriorityQueue>);
+static_assert(AdmissionQueue<FairQueue>);
+static_assert(AdmissionQueue<FifoQueue>);
+static_assert(AdmissionQueue<StrictPriorityQueue>);
 
 constexpr absl::Duration kService = absl::Milliseconds(5);
 constexpr int kCapacityPerSecond = 1600;  // 8 slots, 5 ms each
@@ -51,7 +51,7 @@
 // Feeds a queue with evenly spaced arrivals (requests a second by class) for
 // two seconds of virtual time and returns how many of each class started
 // within their 100 ms, as a share of the arrivals.
-template <AgentQueue Q>
+template <AdmissionQueue Q>
 PerClass<double> ServedShares(Q& queue, const Rates& rates) {
   PerClass<int> sent;
   PerClass<int> started;
