Join the route policy and the agent's queue with the decision code

Cause: the transport was written against simple defaults (round robin, FIFO) and the decisions against their own concepts. Refusals pass the agent's load on, abandoned attempts their age, and a Leaving frame reaches the chooser. FifoQueue existed twice in one namespace; the agent's is FifoAgentQueue.

--- a/cli/command.cc
+++ b/cli/command.cc
@@ -53,7 +53,7 @@
     {"explain", CommandKind::kExplain, 1, "explain TASK|REQUEST",
      "Says why a task is where it is, or why it waits; or how a recent "
      "request was routed.\nA request is named by the id in the header "
-     "Cuminjunction-Request-Id of its answer."},
+     "Cuminjunction-Request of its answer."},
     {"config history", CommandKind::kConfigHistory, 0, "config history",
      "Lists accepted changes: version, time, operator, sections."},
     {"config show", CommandKind::kConfigShow, 0, "config show",
--- a/request/agent_queue.cc
+++ b/request/agent_queue.cc
@@ -11,7 +11,7 @@
 
 }  // namespace
 
-Refusal FifoQueue::Push(const QueuedAttempt& attempt, absl::Time now) {
+Refusal FifoAgentQueue::Push(const QueuedAttempt& attempt, absl::Time now) {
   if (this->waiting.size() >= this->limit ||
       now + this->Wait() >= attempt.deadline)
     return Refusal::kOverload;
@@ -19,22 +19,22 @@
   return Refusal::kNone;
 }
 
-std::optional<uint64_t> FifoQueue::Pop(absl::Time /*now*/) {
+std::optional<PoppedAttempt> FifoAgentQueue::Pop(absl::Time /*now*/) {
   if (this->waiting.empty() || this->running >= this->slots)
     return std::nullopt;
   const uint64_t handle = this->waiting.front();
   this->waiting.pop_front();
   ++this->running;
-  return handle;
+  return PoppedAttempt{handle, Refusal::kNone};
 }
 
-void FifoQueue::Drop(uint64_t handle) {
+void FifoAgentQueue::Drop(uint64_t handle) {
   std::erase(this->waiting, handle);
 }
 
-void FifoQueue::Finish(uint64_t /*handle*/,
-                       absl::Duration service_time,
-                       absl::Time /*now*/) {
+void FifoAgentQueue::Finish(uint64_t /*handle*/,
+                            absl::Duration service_time,
+                            absl::Time /*now*/) {
   --this->running;
   if (service_time == absl::ZeroDuration())
     return;
@@ -43,7 +43,7 @@
   this->service_time += kSampleWeight * (service_time - this->service_time);
 }
 
-AgentLoad FifoQueue::Load(absl::Time /*now*/) const {
+AgentLoad FifoAgentQueue::Load(absl::Time /*now*/) const {
   AgentLoad load;
   load.running = this->running;
   load.queued = static_cast<uint32_t>(this->waiting.size());
@@ -54,7 +54,7 @@
   return load;
 }
 
-absl::Duration FifoQueue::Wait() const {
+absl::Duration FifoAgentQueue::Wait() const {
   if (this->running < this->slots)
     return absl::ZeroDuration();
   return this->service_time * static_cast<int64_t>(this->waiting.size() + 1) /
--- a/request/agent_queue.h
+++ b/request/agent_queue.h
@@ -3,8 +3,8 @@
 
 // The queue of an agent in front of its upstream.
 //
-// AgentServer asks the queue which attempt runs next; FifoQueue is the plain
-// form, in order of arrival with a fixed number of slots.
+// AgentServer asks the queue which attempt runs next; FifoAgentQueue is the
+// plain form, in order of arrival with a fixed number of slots.
 
 #include <cstdint>
 #include <deque>
@@ -22,6 +22,15 @@
   absl::Time deadline;
 };
 
+// An attempt that leaves the queue: to be started, or to be refused when
+// `refusal` is not kNone.
+struct PoppedAttempt {
+  uint64_t handle = 0;
+  Refusal refusal = Refusal::kNone;
+
+  bool operator==(const PoppedAttempt&) const = default;
+};
+
 class AgentQueue {
  public:
   virtual ~AgentQueue() = default;
@@ -29,9 +38,9 @@
   // Takes an attempt or refuses it; kNone means that it was taken.
   virtual Refusal Push(const QueuedAttempt& attempt, absl::Time now) = 0;
 
-  // The attempt to start now. It holds a slot until Finish(). nullopt when no
-  // slot is free or nothing waits.
-  virtual std::optional<uint64_t> Pop(absl::Time now) = 0;
+  // The attempt to start now, which holds a slot until Finish(), or one to
+  // refuse, which holds none. nullopt when there is neither.
+  virtual std::optional<PoppedAttempt> Pop(absl::Time now) = 0;
 
   // Forgets an attempt that waits.
   virtual void Drop(uint64_t handle) = 0;
@@ -45,14 +54,14 @@
   virtual AgentLoad Load(absl::Time now) const = 0;
 };
 
-class FifoQueue : public AgentQueue {
+class FifoAgentQueue : public AgentQueue {
  public:
   // `slots` is the number of requests at the upstream at a time and `limit`
   // that of requests waiting.
-  FifoQueue(uint32_t slots, uint32_t limit) : slots(slots), limit(limit) {}
+  FifoAgentQueue(uint32_t slots, uint32_t limit) : slots(slots), limit(limit) {}
 
   Refusal Push(const QueuedAttempt& attempt, absl::Time now) override;
-  std::optional<uint64_t> Pop(absl::Time now) override;
+  std::optional<PoppedAttempt> Pop(absl::Time now) override;
   void Drop(uint64_t handle) override;
   void Finish(uint64_t handle,
               absl::Duration service_time,
--- a/request/agent_server.cc
+++ b/request/agent_server.cc
@@ -186,19 +186,24 @@
 void AgentServer::StartNext(absl::Time now) {
   if (!this->upstream_up || this->probing)
     return;
-  while (const std::optional<uint64_t> handle = this->queue->Pop(now)) {
-    const auto found = this->attempts.find(*handle);
-    if (found == this->attempts.end()) {
-      this->queue->Finish(*handle, absl::ZeroDuration(), now);
+  while (const std::optional<PoppedAttempt> popped = this->queue->Pop(now)) {
+    const uint64_t handle = popped->handle;
+    const auto found = this->attempts.find(handle);
+    const bool expired =
+        found != this->attempts.end() && found->second->deadline <= now;
+    if (popped->refusal == Refusal::kNone &&
+        (expired || found == this->attempts.end()))
+      this->queue->Finish(handle, absl::ZeroDuration(), now);
+    if (found == this->attempts.end())
       continue;
-    }
-    if (found->second->deadline <= now) {
-      this->queue->Finish(*handle, absl::ZeroDuration(), now);
+    if (expired || popped->refusal != Refusal::kNone) {
+      // The queue no longer holds it.
       found->second->phase = Phase::kReceiving;
-      this->RefuseWaiting(*handle, Refusal::kDeadline, now);
+      this->RefuseWaiting(handle,
+                          expired ? Refusal::kDeadline : popped->refusal, now);
       continue;
     }
-    this->StartCall(*handle, found->second.get(), now);
+    this->StartCall(handle, found->second.get(), now);
   }
 }
 
--- a/request/budget.h
+++ b/request/budget.h
@@ -46,6 +46,9 @@
     this->hundredths = std::min(this->hundredths + Percent, kMostSaved * 100);
   }
 
+  // Attempts that may be taken.
+  double Left() const { return static_cast<double>(this->hundredths) / 100; }
+
   // Takes one attempt out of the budget. False when it is spent.
   bool TryTake() {
     if (this->hundredths < 100)
--- a/request/entry_front.cc
+++ b/request/entry_front.cc
@@ -202,7 +202,8 @@
     this->CancelOutstanding(request);
   while (!request->outstanding.empty()) {
     const Attempt& attempt = request->outstanding.back();
-    this->policy->OnAbandoned(attempt.agent->endpoint.name, now);
+    this->policy->OnAbandoned(attempt.agent->endpoint.name, now - attempt.sent,
+                              now);
     this->RemoveAttempt(request, attempt.number);
   }
   if (this->claims != nullptr && outcome == Outcome::kNotRun &&
--- a/request/entry_links.cc
+++ b/request/entry_links.cc
@@ -210,6 +210,7 @@
 void EntryFront::Handle(Agent* agent, Leaving&& /*leaving*/) {
   agent->ready = false;
   agent->leaving = true;
+  this->policy->OnLeaving(agent->endpoint.name);
   this->UpdateUnusable();
   this->CloseIfUnused(agent);
 }
@@ -264,7 +265,8 @@
     this->late_total.Add();
     return;
   }
-  this->policy->OnRefused(agent->endpoint.name, refused.reason, absl::Now());
+  this->policy->OnRefused(agent->endpoint.name, refused.reason, refused.load,
+                          absl::Now());
   this->OnAttemptRefused(request, refused.id.attempt, refused.reason);
 }
 
--- a/request/route_policy.cc
+++ b/request/route_policy.cc
@@ -62,14 +62,18 @@
 
 void RoundRobinPolicy::OnRefused(const std::string& /*upstream*/,
                                  Refusal /*reason*/,
+                                 const AgentLoad& /*load*/,
                                  absl::Time /*now*/) {}
 
 void RoundRobinPolicy::OnFailure(const std::string& /*upstream*/,
                                  absl::Time /*now*/) {}
 
 void RoundRobinPolicy::OnAbandoned(const std::string& /*upstream*/,
+                                   absl::Duration /*elapsed*/,
                                    absl::Time /*now*/) {}
 
+void RoundRobinPolicy::OnLeaving(const std::string& /*upstream*/) {}
+
 void RoundRobinPolicy::OnFirstAttempt(absl::Time /*now*/) {
   this->retries_left = std::min(this->retries_left + this->options.retry_share,
                                 this->options.burst);
--- a/request/route_policy.h
+++ b/request/route_policy.h
@@ -64,11 +64,17 @@
                         absl::Time now) = 0;
   virtual void OnRefused(const std::string& upstream,
                          Refusal reason,
+                         const AgentLoad& load,
                          absl::Time now) = 0;
   virtual void OnFailure(const std::string& upstream, absl::Time now) = 0;
-  // The entry awaits no answer any longer, after a deadline or because another
-  // attempt was answered.
-  virtual void OnAbandoned(const std::string& upstream, absl::Time now) = 0;
+  // The entry awaits no answer any longer, `elapsed` after it was sent: the
+  // deadline has passed or another attempt was answered.
+  virtual void OnAbandoned(const std::string& upstream,
+                           absl::Duration elapsed,
+                           absl::Time now) = 0;
+
+  // The agent says that it is leaving.
+  virtual void OnLeaving(const std::string& upstream) = 0;
 
   // Budgets, as shares of first attempts. Allow...() takes from the budget.
   virtual void OnFirstAttempt(absl::Time now) = 0;
@@ -110,9 +116,13 @@
                 absl::Time now) override;
   void OnRefused(const std::string& upstream,
                  Refusal reason,
+                 const AgentLoad& load,
                  absl::Time now) override;
   void OnFailure(const std::string& upstream, absl::Time now) override;
-  void OnAbandoned(const std::string& upstream, absl::Time now) override;
+  void OnAbandoned(const std::string& upstream,
+                   absl::Duration elapsed,
+                   absl::Time now) override;
+  void OnLeaving(const std::string& upstream) override;
   void OnFirstAttempt(absl::Time now) override;
   bool AllowRetry(absl::Time now) override;
   bool AllowHedge(absl::Time now) override;
--- a/request/testing/path_harness.h
+++ b/request/testing/path_harness.h
@@ -132,8 +132,8 @@
     options.probe_interval_ms = 20;
     this->thread.Start();
     this->server = std::make_unique<AgentServer>(
-        &this->thread, options, std::make_unique<FifoQueue>(slots, 1000), log,
-        metrics);
+        &this->thread, options, std::make_unique<FifoAgentQueue>(slots, 1000),
+        log, metrics);
     this->endpoint = {
         name, "127.0.0.1", this->server->Start().value(), {"runner"}};
   }
