--- a/config/document.h
+++ b/config/document.h
@@ -20,6 +20,9 @@
 
 inline constexpr int kUrgencyCount = 3;
 
+// "urgent", "normal" or "batch".
+const std::string& ToString(Urgency urgency);
+
 // Resources of a task or a VM.
 struct Size {
   int64_t millicores = 0;
--- /dev/null
+++ b/daemon/peer_net.h
@@ -0,0 +1,114 @@
+#ifndef DAEMON_PEER_NET_H_
+#define DAEMON_PEER_NET_H_
+
+// Framed TCP between processes of the system, for what is neither a request nor
+// a heartbeat: configuration and notices.
+//
+//   PeerNet net(&thread, &metrics, [&](PeerMessage&& message,
+//                                      const PeerReply& reply) {
+//     if (auto* request = std::get_if<ConfigRequest>(&message))
+//       for (const ConfigPart& part : node.Answer(*request)) reply(part);
+//   });
+//   Result<uint16_t> port = net.Listen("127.0.0.1", 0);
+//   net.Send({"127.0.0.1", 7200}, WorkerNudge{"w1"});
+//
+// A connection is opened with the first message and kept. Messages are lost
+// when it breaks; senders repeat what matters. Damaged bytes close the
+// connection. All calls are made on the event thread.
+
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <variant>
+
+#include "base/error.h"
+#include "base/event_thread.h"
+#include "base/frame.h"
+#include "base/metrics.h"
+#include "config/distribution.h"
+#include "daemon/settings.h"
+
+namespace cuminjunction {
+
+enum class PeerError { kUnknownTag = 1, kBadAddress };
+
+template <>
+struct ErrorTraits<PeerError> {
+  static constexpr const char* kCategory = "peer";
+  static std::string_view Message(PeerError error);
+};
+
+// To a worker's agent: the worker's row has changed.
+struct WorkerNudge {
+  std::string worker;
+
+  auto operator<=>(const WorkerNudge&) const = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->worker);
+  }
+};
+
+// To an upstream's agent: an operator drains it.
+struct DrainNotice {
+  std::string upstream;
+
+  auto operator<=>(const DrainNotice&) const = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->upstream);
+  }
+};
+
+using PeerMessage =
+    std::variant<ConfigRequest, ConfigPart, WorkerNudge, DrainNotice>;
+
+// The payload of a frame: a tag byte and the message.
+std::string EncodePeerMessage(const PeerMessage& message);
+
+// Fails with CodecError or PeerError::kUnknownTag.
+Result<PeerMessage> DecodePeerMessage(std::string_view payload);
+
+// Sends a message back on the connection that a message came on.
+using PeerReply = std::function<void(const PeerMessage& message)>;
+
+class PeerNet {
+ public:
+  using Handler =
+      std::function<void(PeerMessage&& message, const PeerReply& reply)>;
+
+  // `thread` and `metrics` must outlive this object.
+  PeerNet(EventThread* thread, Metrics* metrics, Handler handler);
+
+  // Accepts connections. Returns the port. Fails with the system's error.
+  Result<uint16_t> Listen(const std::string& host, uint16_t port);
+
+  void Send(const Endpoint& to, const PeerMessage& message);
+
+  // Closes everything.
+  void Close();
+
+ private:
+  class Connection;
+
+  void Accept();
+  void Adopt(const std::shared_ptr<Connection>& connection);
+  void Drop(Connection* connection);
+
+  EventThread* thread;
+  Handler handler;
+  Counter& damaged;
+  boost::asio::ip::tcp::acceptor acceptor;
+  std::set<std::shared_ptr<Connection>> connections;
+  std::map<Endpoint, std::weak_ptr<Connection>> outgoing;
+};
+
+}  // namespace cuminjunction
+
+#endif  // DAEMON_PEER_NET_H_
--- a/daemon/settings.cc
+++ b/daemon/settings.cc
@@ -26,6 +26,7 @@
   listen.admin_port = Port(&map, "admin_port");
   listen.membership_port = Port(&map, "membership_port");
   listen.agent_port = Port(&map, "agent_port");
+  listen.peer_port = Port(&map, "peer_port");
   map.Finish();
   return listen;
 }
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -41,6 +41,8 @@
   uint16_t membership_port = 0;
   // Frames of entries, TCP (agent).
   uint16_t agent_port = 0;
+  // Configuration and notices between processes, TCP (both roles).
+  uint16_t peer_port = 0;
 
   auto operator<=>(const ListenSettings&) const = default;
 };
--- a/membership/agent_heartbeat.cc
+++ b/membership/agent_heartbeat.cc
@@ -30,7 +30,7 @@
 Status AgentHeartbeat::Open() {
   BOOST_OUTCOME_TRY(this->socket.Open(
       {this->self.host, this->self.port},
-      [this](Message message, const UdpAddress& from) {
+      [this](Datagram message, const UdpAddress& from) {
         if (const auto* heard = std::get_if<Acknowledgement>(&message))
           this->Hear(*heard, from);
       }));
--- a/membership/entry_gossip.cc
+++ b/membership/entry_gossip.cc
@@ -41,11 +41,11 @@
                                        "direction=\"sent\"")) {}
 
 Status EntryGossip::Open() {
-  BOOST_OUTCOME_TRY(
-      this->socket.Open({this->options.self.host, this->options.self.port},
-                        [this](const Message& message, const UdpAddress& from) {
-                          this->Hear(message, from);
-                        }));
+  BOOST_OUTCOME_TRY(this->socket.Open(
+      {this->options.self.host, this->options.self.port},
+      [this](const Datagram& message, const UdpAddress& from) {
+        this->Hear(message, from);
+      }));
   this->view.SetSelfPort(this->socket.Port());
   this->contacts = this->view.EntryContacts();
   this->contacts_hash = HashEntries(this->contacts);
@@ -95,7 +95,7 @@
     this->SendRound(RoundKind::kChangesOnly, now);
 }
 
-void EntryGossip::Hear(const Message& message, const UdpAddress& from) {
+void EntryGossip::Hear(const Datagram& message, const UdpAddress& from) {
   if (const auto* heartbeat = std::get_if<Heartbeat>(&message))
     this->HearHeartbeat(*heartbeat, from);
   else if (const auto* digest = std::get_if<Digest>(&message))
--- a/membership/entry_gossip.h
+++ b/membership/entry_gossip.h
@@ -80,7 +80,7 @@
   void Depart();
 
  private:
-  void Hear(const Message& message, const UdpAddress& from);
+  void Hear(const Datagram& message, const UdpAddress& from);
   void HearHeartbeat(const Heartbeat& heartbeat, const UdpAddress& from);
   void HearDigest(const Digest& digest, const UdpAddress& from);
   void NoticeConfigVersion(const Brief& sender);
--- a/membership/member.h
+++ b/membership/member.h
@@ -64,6 +64,8 @@
   uint16_t port = 0;
   // TCP port: of request frames at an agent, of its peers at an entry.
   uint16_t tcp_port = 0;
+  // TCP port of an agent for configuration and notices of entries.
+  uint16_t peer_port = 0;
   std::string failure_domain;
   std::string region;
   // Names of the services whose upstream the agent stands beside.
@@ -77,8 +79,8 @@
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->name, this->role, this->incarnation, this->host, this->port,
-            this->tcp_port, this->failure_domain, this->region, this->services,
-            this->state, this->config_version);
+            this->tcp_port, this->peer_port, this->failure_domain, this->region,
+            this->services, this->state, this->config_version);
   }
 };
 
--- a/membership/message.cc
+++ b/membership/message.cc
@@ -15,11 +15,11 @@
 
 // The type byte of a message is its index in the variant.
 template <class T>
-Result<Message> DecodeAs(std::string_view body) {
+Result<Datagram> DecodeAs(std::string_view body) {
   Result<T> message = Decode<T>(body);
   if (!message)
-    return MessageError::kMalformed;
-  return Message(std::move(message).value());
+    return DatagramError::kMalformed;
+  return Datagram(std::move(message).value());
 }
 
 bool IsValid(const Brief& brief) {
@@ -54,7 +54,7 @@
              [](const FullRecord& record) { return IsValid(record.member); });
 }
 
-Result<Message> DecodeBody(uint8_t type, std::string_view body) {
+Result<Datagram> DecodeBody(uint8_t type, std::string_view body) {
   switch (type) {
     case 0:
       return DecodeAs<Heartbeat>(body);
@@ -63,27 +63,27 @@
     case 2:
       return DecodeAs<Digest>(body);
     default:
-      return MessageError::kUnknownType;
+      return DatagramError::kUnknownType;
   }
 }
 
 }  // namespace
 
-std::string_view ErrorTraits<MessageError>::Message(MessageError error) {
+std::string_view ErrorTraits<DatagramError>::Message(DatagramError error) {
   switch (error) {
-    case MessageError::kForeign:
+    case DatagramError::kForeign:
       return "datagram is not a membership message";
-    case MessageError::kChecksum:
+    case DatagramError::kChecksum:
       return "datagram has a wrong checksum";
-    case MessageError::kUnknownType:
+    case DatagramError::kUnknownType:
       return "datagram has an unknown type";
-    case MessageError::kMalformed:
+    case DatagramError::kMalformed:
       return "datagram has unreadable content";
   }
   return "unknown membership error";
 }
 
-std::string EncodeMessage(const Message& message) {
+std::string EncodeMessage(const Datagram& message) {
   std::string out;
   out.push_back(kMagic);
   out.push_back(static_cast<char>(message.index()));
@@ -94,19 +94,19 @@
   return out;
 }
 
-Result<Message> ParseMessage(std::string_view bytes) {
+Result<Datagram> ParseMessage(std::string_view bytes) {
   if (bytes.size() < kHeaderBytes + kChecksumBytes || bytes[0] != kMagic)
-    return MessageError::kForeign;
+    return DatagramError::kForeign;
   const std::string_view covered =
       bytes.substr(0, bytes.size() - kChecksumBytes);
   uint32_t checksum = 0;
   std::memcpy(&checksum, bytes.data() + covered.size(), sizeof(checksum));
   if (checksum != Crc32(covered))
-    return MessageError::kChecksum;
+    return DatagramError::kChecksum;
   BOOST_OUTCOME_TRY(message, DecodeBody(static_cast<uint8_t>(covered[1]),
                                         covered.substr(kHeaderBytes)));
   if (!std::visit([](const auto& value) { return IsValid(value); }, message))
-    return MessageError::kMalformed;
+    return DatagramError::kMalformed;
   return message;
 }
 
--- a/membership/message.h
+++ b/membership/message.h
@@ -7,7 +7,7 @@
 // before it:
 //
 //   std::string bytes = EncodeMessage(Heartbeat{...});
-//   Result<Message> message = ParseMessage(bytes);
+//   Result<Datagram> message = ParseMessage(bytes);
 //   if (!message) ...   // counted and dropped
 //   if (auto* heartbeat = std::get_if<Heartbeat>(&message.value())) ...
 //
@@ -27,7 +27,7 @@
 
 namespace cuminjunction {
 
-enum class MessageError {
+enum class DatagramError {
   // Too short or without the magic byte: not a message of ours.
   kForeign = 1,
   kChecksum,
@@ -37,9 +37,9 @@
 };
 
 template <>
-struct ErrorTraits<MessageError> {
+struct ErrorTraits<DatagramError> {
   static constexpr const char* kCategory = "membership";
-  static std::string_view Message(MessageError error);
+  static std::string_view Message(DatagramError error);
 };
 
 // The changing part of what is known of a member: about 20 bytes.
@@ -138,13 +138,13 @@
   }
 };
 
-using Message = std::variant<Heartbeat, Acknowledgement, Digest>;
+using Datagram = std::variant<Heartbeat, Acknowledgement, Digest>;
 
 // The datagram of a message.
-std::string EncodeMessage(const Message& message);
+std::string EncodeMessage(const Datagram& message);
 
-// Reads a datagram. Fails with a MessageError.
-Result<Message> ParseMessage(std::string_view bytes);
+// Reads a datagram. Fails with a DatagramError.
+Result<Datagram> ParseMessage(std::string_view bytes);
 
 // Hash of an entry list, for telling whether it changed.
 uint32_t HashEntries(const std::vector<EntryContact>& entries);
--- a/membership/testing/fleet.h
+++ b/membership/testing/fleet.h
@@ -114,7 +114,7 @@
   }
 
   void Deliver(Entry* to, const Digest& digest) {
-    const Result<Message> read = ParseMessage(EncodeMessage(digest));
+    const Result<Datagram> read = ParseMessage(EncodeMessage(digest));
     ASSERT_TRUE(read.has_value());
     const std::vector<Digest> replies =
         to->view.HearDigest(std::get<Digest>(read.value()), this->now);
--- a/membership/testing/message_test.cc
+++ b/membership/testing/message_test.cc
@@ -7,7 +7,7 @@
 namespace cuminjunction {
 namespace {
 
-std::vector<Message> SampleMessages() {
+std::vector<Datagram> SampleMessages() {
   const Member agent =
       MakeMember("runner-3", Role::kAgent, "erie", 7001, 1'770'000'000'000);
   Acknowledgement acknowledgement{9, 120, true, 0, std::nullopt};
@@ -23,16 +23,16 @@
           digest};
 }
 
-TEST(Message, KeepsItsContent) {
-  for (const Message& message : SampleMessages()) {
-    const Result<Message> read = ParseMessage(EncodeMessage(message));
+TEST(Datagram, KeepsItsContent) {
+  for (const Datagram& message : SampleMessages()) {
+    const Result<Datagram> read = ParseMessage(EncodeMessage(message));
     ASSERT_TRUE(read.has_value());
     EXPECT_TRUE(read.value() == message);
   }
 }
 
 // Guards the budget per node: an unchanged heartbeat grows by a field.
-TEST(Message, UnchangedHeartbeatIsSmall) {
+TEST(Datagram, UnchangedHeartbeatIsSmall) {
   Member agent = MakeMember("a-long-name-of-an-agent-in-erie", Role::kAgent,
                             "erie", 7001, 1'770'000'000'000);
   agent.config_version = 1'000'000;
@@ -43,16 +43,16 @@
 
 // Guards against acting on bytes that were damaged on the way: each single bit
 // and each cut is noticed.
-TEST(Message, DamageIsATypedError) {
-  for (const Message& message : SampleMessages()) {
+TEST(Datagram, DamageIsATypedError) {
+  for (const Datagram& message : SampleMessages()) {
     const std::string bytes = EncodeMessage(message);
     for (size_t bit = 0; bit < bytes.size() * 8; ++bit) {
       std::string damaged = bytes;
       damaged[bit / 8] = static_cast<char>(damaged[bit / 8] ^ (1 << bit % 8));
-      const Result<Message> read = ParseMessage(damaged);
+      const Result<Datagram> read = ParseMessage(damaged);
       ASSERT_FALSE(read.has_value()) << "bit " << bit;
       EXPECT_EQ(read.error(),
-                bit < 8 ? MessageError::kForeign : MessageError::kChecksum);
+                bit < 8 ? DatagramError::kForeign : DatagramError::kChecksum);
     }
     for (size_t size = 0; size < bytes.size(); ++size)
       EXPECT_FALSE(ParseMessage(bytes.substr(0, size)).has_value());
@@ -61,7 +61,7 @@
 
 // Guards against content that a faulty or hostile sender gives a right
 // checksum: states that only an entry may judge, names that don't match.
-TEST(Message, ImplausibleContentIsMalformed) {
+TEST(Datagram, ImplausibleContentIsMalformed) {
   const Member agent = MakeMember("runner-3", Role::kAgent, "erie", 7001, 5);
   Heartbeat judged = MakeHeartbeat(agent, 1);
   judged.brief.state = MemberState::kDead;
@@ -70,9 +70,9 @@
   Heartbeat out_of_range = MakeHeartbeat(agent, 1);
   out_of_range.announcement->state = static_cast<MemberState>(7);
   for (const Heartbeat& heartbeat : {judged, misnamed, out_of_range}) {
-    const Result<Message> read = ParseMessage(EncodeMessage(heartbeat));
+    const Result<Datagram> read = ParseMessage(EncodeMessage(heartbeat));
     ASSERT_FALSE(read.has_value());
-    EXPECT_EQ(read.error(), MessageError::kMalformed);
+    EXPECT_EQ(read.error(), DatagramError::kMalformed);
   }
 }
 
--- a/membership/testing/udp_test.cc
+++ b/membership/testing/udp_test.cc
@@ -187,7 +187,7 @@
   UdpSocket socket(&this->thread.Context(), &other);
   this->thread.Call([&] {
     ASSERT_TRUE(
-        socket.Open({"127.0.0.1", 0}, [](const Message&, const auto&) {})
+        socket.Open({"127.0.0.1", 0}, [](const Datagram&, const auto&) {})
             .has_value());
     std::string damaged = EncodeMessage(Heartbeat{});
     damaged.back() = static_cast<char>(damaged.back() ^ 1);
--- a/membership/udp_socket.cc
+++ b/membership/udp_socket.cc
@@ -23,11 +23,11 @@
 constexpr int kReceiveBufferBytes = 1024 * 1024;
 
 std::string_view ReasonLabel(const std::error_code& error) {
-  if (error == MessageError::kForeign)
+  if (error == DatagramError::kForeign)
     return "reason=\"foreign\"";
-  if (error == MessageError::kChecksum)
+  if (error == DatagramError::kChecksum)
     return "reason=\"checksum\"";
-  if (error == MessageError::kUnknownType)
+  if (error == DatagramError::kUnknownType)
     return "reason=\"unknown_type\"";
   return "reason=\"malformed\"";
 }
@@ -108,7 +108,7 @@
 
 void UdpSocket::Take(size_t size) {
   this->received_bytes.Add(size + kHeaderBytesOnWire);
-  Result<Message> message =
+  Result<Datagram> message =
       ParseMessage(std::string_view(this->buffer.data(), size));
   if (!message) {
     this->metrics
--- a/membership/udp_socket.h
+++ b/membership/udp_socket.h
@@ -4,7 +4,7 @@
 // A UDP socket for membership messages on an event thread.
 //
 //   UdpSocket socket(&thread.Context(), &metrics);
-//   Status opened = socket.Open({"127.0.0.1", 0}, [](Message message,
+//   Status opened = socket.Open({"127.0.0.1", 0}, [](Datagram message,
 //                                                    const UdpAddress& from) {
 //     ...
 //   });
@@ -35,7 +35,7 @@
 
 class UdpSocket {
  public:
-  using OnMessage = std::function<void(Message, const UdpAddress&)>;
+  using OnMessage = std::function<void(Datagram, const UdpAddress&)>;
 
   // Counts in `metrics`, which must outlive the socket.
   UdpSocket(boost::asio::io_context* context, Metrics* metrics);
--- a/request/agent_server.cc
+++ b/request/agent_server.cc
@@ -113,7 +113,7 @@
     this->Enqueue(handle, attempt, absl::Now());
 }
 
-void AgentServer::Handle(Peer* peer, Cancel&& cancel) {
+void AgentServer::Handle(Peer* peer, CancelAttempt&& cancel) {
   const absl::Time now = absl::Now();
   const auto found = this->handles.find(cancel.id);
   if (found != this->handles.end()) {
--- a/request/agent_server.h
+++ b/request/agent_server.h
@@ -136,7 +136,7 @@
   // Attempts (agent_server.cc).
   void Handle(Peer* peer, Submit&& submit);
   void Handle(Peer* peer, BodyChunk&& chunk);
-  void Handle(Peer* peer, Cancel&& cancel);
+  void Handle(Peer* peer, CancelAttempt&& cancel);
   // Messages that only an agent sends.
   template <class T>
   void Handle(Peer* peer, T&& message);
--- a/request/entry_route.cc
+++ b/request/entry_route.cc
@@ -265,7 +265,7 @@
     const AttemptId id = {request->id, attempt.number};
     if (request->large_body)
       link->DropBody(id);
-    link->Send(Cancel{id, ToMicros(request->head.deadline)});
+    link->Send(CancelAttempt{id, ToMicros(request->head.deadline)});
   }
 }
 
--- a/request/message.cc
+++ b/request/message.cc
@@ -110,7 +110,7 @@
                message.reason <= Refusal::kLimit);
 }
 
-Status CheckFields(const Cancel& message) {
+Status CheckFields(const CancelAttempt& message) {
   return Check(IsId(message.id));
 }
 
--- a/request/message.h
+++ b/request/message.h
@@ -7,7 +7,7 @@
 // encoded fields.
 //
 //   std::string payload;
-//   AppendMessage(Cancel{id, deadline_us}, &payload);
+//   AppendMessage(CancelAttempt{id, deadline_us}, &payload);
 //   Result<Message> message = ReadMessage(payload);
 //
 // ReadMessage checks every id, size and enumerator, so that code behind it can
@@ -204,12 +204,12 @@
 
 // The entry no longer wants the attempt. Answered by Refused when it has not
 // started and by AnswerBroken when it runs.
-struct Cancel {
+struct CancelAttempt {
   AttemptId id;
   // Deadline of the attempt, so that the tombstone can end.
   int64_t deadline_us = 0;
 
-  bool operator==(const Cancel&) const = default;
+  bool operator==(const CancelAttempt&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->id, this->deadline_us);
@@ -230,7 +230,7 @@
                              AnswerChunk,
                              AnswerBroken,
                              Refused,
-                             Cancel,
+                             CancelAttempt,
                              Leaving>;
 
 namespace message_internal {
--- a/request/types.cc
+++ b/request/types.cc
@@ -36,16 +36,4 @@
   return "none";
 }
 
-std::string_view ToString(Urgency urgency) {
-  switch (urgency) {
-    case Urgency::kUrgent:
-      return "urgent";
-    case Urgency::kNormal:
-      return "normal";
-    case Urgency::kBatch:
-      return "batch";
-  }
-  return "normal";
-}
-
 }  // namespace cuminjunction
--- a/request/types.h
+++ b/request/types.h
@@ -87,9 +87,6 @@
 // The refusal as a word for logs and headers, such as "overload".
 std::string_view ToString(Refusal refusal);
 
-// "urgent", "normal" or "batch".
-std::string_view ToString(Urgency urgency);
-
 // The scheduling class of a request.
 struct RequestClass {
   std::string account;
--- a/task/row.cc
+++ b/task/row.cc
@@ -195,9 +195,6 @@
 const std::string& ToString(TaskKind kind) {
   return NameOf(kKinds, kind);
 }
-const std::string& ToString(Urgency urgency) {
-  return NameOf(kUrgencies, urgency);
-}
 const std::string& ToString(ParkReason reason) {
   return NameOf(kParkReasons, reason);
 }
--- a/task/row.h
+++ b/task/row.h
@@ -74,7 +74,6 @@
 const std::string& ToString(TaskState state);
 const std::string& ToString(WorkerState state);
 const std::string& ToString(TaskKind kind);
-const std::string& ToString(Urgency urgency);
 Result<TaskState> ParseTaskState(std::string_view text);
 Result<WorkerState> ParseWorkerState(std::string_view text);
 
