Distribute the configuration as deltas that never revert

Change: ConfigNode, a state machine of one node: it takes higher versions from the store or from any peer, asks another peer after 500 ms without an answer, cuts deltas into parts below the frame limit, refuses a delta whose result does not have its digest and then asks for all sections, and is ready only with the highest version that its peers told.

Checked by removing the mechanism, one at a time: comparison of versions, digest, version in the digest, readiness, whole delta below the kept removals, other peer after silence, whole request after damage, limit of parts.

--- /dev/null
+++ b/config/distribution.cc
@@ -0,0 +1,178 @@
+#include "config/distribution.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "base/frame.h"
+#include "base/strings.h"
+
+namespace cuminjunction {
+
+ConfigNode::ConfigNode(ConfigNodeOptions options)
+    : options(std::move(options)) {}
+
+Result<bool> ConfigNode::OnStoreDelta(const Delta& delta) {
+  const Result<bool> applied = this->state.Apply(delta);
+  this->store_reached = this->store_reached || applied.has_value();
+  return applied;
+}
+
+void ConfigNode::OnPeerVersion(const std::string& peer,
+                               uint64_t version,
+                               int distance,
+                               absl::Time /*now*/) {
+  Peer& known = this->peers[peer];
+  // Messages of one peer may arrive crossed.
+  known.version = std::max(known.version, version);
+  known.distance = distance;
+}
+
+void ConfigNode::OnPeerLost(const std::string& peer) {
+  this->peers.erase(peer);
+  if (this->transfer && this->transfer->peer == peer)
+    this->transfer.reset();
+}
+
+uint64_t ConfigNode::HighestHeard() const {
+  uint64_t highest = 0;
+  for (const auto& [name, peer] : this->peers)
+    highest = std::max(highest, peer.version);
+  return highest;
+}
+
+// The peer to ask: the highest version, then the nearest. A node without any
+// configuration asks the nearest first, since it needs all sections and the
+// rest follows as a small delta. Among equals the choice depends on both names,
+// so that nodes spread over their peers.
+std::string ConfigNode::ChoosePeer(absl::Time now) const {
+  std::string best;
+  auto best_rank = std::make_tuple(false, uint64_t{0}, uint64_t{0}, 0U);
+  const bool is_empty = this->state.Version() == 0;
+  for (const auto& [name, peer] : this->peers) {
+    if (peer.version <= this->state.Version())
+      continue;
+    const uint64_t nearness = 100 - static_cast<uint64_t>(peer.distance);
+    const uint32_t spread = Crc32(StrCat(this->options.name, "/", name));
+    const auto rank = std::make_tuple(
+        peer.blocked_until <= now, is_empty ? nearness : peer.version,
+        is_empty ? peer.version : nearness, spread);
+    if (best.empty() || rank > best_rank) {
+      best = name;
+      best_rank = rank;
+    }
+  }
+  return best;
+}
+
+void ConfigNode::Block(const std::string& peer, absl::Time now) {
+  const auto found = this->peers.find(peer);
+  if (found != this->peers.end())
+    found->second.blocked_until = now + absl::Milliseconds(kPeerBlockedMs);
+}
+
+std::optional<OutgoingConfigRequest> ConfigNode::Poll(absl::Time now) {
+  if (this->transfer && this->transfer->deadline > now)
+    return std::nullopt;
+  if (this->transfer) {
+    this->Block(this->transfer->peer, now);
+    this->transfer.reset();
+  }
+  const std::string peer = this->ChoosePeer(now);
+  if (peer.empty())
+    return std::nullopt;
+  Transfer started;
+  started.peer = peer;
+  started.id = this->next_id++;
+  started.deadline = now + absl::Milliseconds(kConfigRequestTimeoutMs);
+  this->transfer = started;
+  const bool whole = this->needs_whole || this->options.always_whole;
+  return OutgoingConfigRequest{peer,
+                               {started.id, this->state.Version(), whole}};
+}
+
+std::vector<ConfigPart> ConfigNode::Answer(const ConfigRequest& request) {
+  const bool is_known = !this->answer_bytes.empty() &&
+                        this->answered.have == request.have &&
+                        this->answered.whole == request.whole &&
+                        this->answered_version == this->state.Version();
+  if (!is_known) {
+    this->answered = request;
+    this->answered_version = this->state.Version();
+    this->answer_bytes = Encode(
+        request.whole ? this->state.Whole() : this->state.Since(request.have));
+  }
+  const size_t size = this->answer_bytes.size();
+  const size_t count = (size + kMaxPartBytes - 1) / kMaxPartBytes;
+  std::vector<ConfigPart> parts;
+  for (size_t i = 0; i < count; ++i) {
+    parts.push_back(
+        {request.id, static_cast<uint32_t>(i), static_cast<uint32_t>(count),
+         this->answer_bytes.substr(i * kMaxPartBytes, kMaxPartBytes)});
+  }
+  return parts;
+}
+
+bool ConfigNode::AcceptsPart(const ConfigPart& part) const {
+  return part.count > 0 && part.count <= kMaxParts && part.index < part.count &&
+         part.bytes.size() <= kMaxPartBytes &&
+         (this->transfer->count == 0 || this->transfer->count == part.count);
+}
+
+Result<bool> ConfigNode::OnPart(const std::string& peer,
+                                const ConfigPart& part,
+                                absl::Time now) {
+  // Parts of an older request come late and are not needed.
+  if (!this->transfer || this->transfer->peer != peer ||
+      this->transfer->id != part.id)
+    return false;
+  if (!this->AcceptsPart(part)) {
+    this->Block(peer, now);
+    this->transfer.reset();
+    return ConfigError::kDamagedDelta;
+  }
+  this->transfer->count = part.count;
+  this->transfer->parts[part.index] = part.bytes;
+  this->transfer->deadline = now + absl::Milliseconds(kConfigRequestTimeoutMs);
+  if (this->transfer->parts.size() < part.count)
+    return false;
+  const Transfer finished = std::move(*this->transfer);
+  this->transfer.reset();
+  const Result<bool> applied = this->Finish(finished);
+  if (!applied) {
+    this->needs_whole = true;
+    this->Block(peer, now);
+  }
+  return applied;
+}
+
+Result<bool> ConfigNode::Finish(const Transfer& finished) {
+  std::string bytes;
+  for (const auto& [index, part] : finished.parts)
+    bytes += part;
+  BOOST_OUTCOME_TRY(delta, Decode<Delta>(bytes));
+  BOOST_OUTCOME_TRY(applied, this->state.Apply(delta));
+  if (applied) {
+    this->needs_whole = false;
+    return true;
+  }
+  // The peer was replaced and has less than it told, or another one was faster.
+  const auto found = this->peers.find(finished.peer);
+  if (found != this->peers.end())
+    found->second.version = delta.to;
+  return false;
+}
+
+bool ConfigNode::IsReady(absl::Time now) {
+  if (this->ready)
+    return true;
+  const bool heard_enough =
+      static_cast<int>(this->peers.size()) >= this->options.expected_peers;
+  const bool heard_any = !this->peers.empty();
+  const bool joined = this->store_reached || heard_enough ||
+                      (heard_any && now >= this->options.join_deadline);
+  this->ready = joined && this->state.Version() >= this->HighestHeard();
+  return this->ready;
+}
+
+}  // namespace cuminjunction
--- a/config/state.cc
+++ b/config/state.cc
@@ -23,6 +23,10 @@
   return crc.checksum();
 }
 
+uint64_t VersionDigest(uint64_t version) {
+  return SectionDigest("", {version, ""});
+}
+
 SectionTexts ConfigState::Texts() const {
   SectionTexts out;
   for (const auto& [name, section] : this->sections)
@@ -30,8 +34,8 @@
   return out;
 }
 
-uint64_t ConfigState::DigestAfter(const Delta& delta) const {
-  uint64_t out = delta.whole ? 0 : this->digest;
+uint64_t ConfigState::SectionsDigestAfter(const Delta& delta) const {
+  uint64_t out = delta.whole ? 0 : this->sections_digest;
   const auto drop = [&](const std::string& name) {
     const auto found = this->sections.find(name);
     if (!delta.whole && found != this->sections.end())
@@ -53,7 +57,8 @@
     return false;
   if (!delta.whole && delta.from > this->version)
     return ConfigError::kMissingBase;
-  if (this->DigestAfter(delta) != delta.digest)
+  const uint64_t after = this->SectionsDigestAfter(delta);
+  if (after + VersionDigest(delta.to) != delta.digest)
     return ConfigError::kDamagedDelta;
   if (delta.whole)
     this->Clear();
@@ -62,7 +67,7 @@
   for (const auto& [name, removed_at] : delta.removed)
     this->Remove(name, removed_at);
   this->version = delta.to;
-  this->digest = delta.digest;
+  this->sections_digest = after;
   this->floor = delta.whole ? delta.floor : this->floor;
   this->Prune();
   return true;
@@ -74,7 +79,7 @@
   Delta delta;
   delta.from = from;
   delta.to = this->version;
-  delta.digest = this->digest;
+  delta.digest = this->Digest();
   for (auto it = this->by_version.upper_bound(from);
        it != this->by_version.end(); ++it) {
     for (const std::string& name : it->second) {
@@ -93,7 +98,7 @@
   delta.to = this->version;
   delta.whole = true;
   delta.floor = this->floor;
-  delta.digest = this->digest;
+  delta.digest = this->Digest();
   delta.changed = this->sections;
   delta.removed = this->tombstones;
   return delta;
--- a/config/state.h
+++ b/config/state.h
@@ -50,7 +50,7 @@
   bool whole = false;
   // Removals at or below this version are not known to the sender.
   uint64_t floor = 0;
-  // Digest of all sections at version `to`.
+  // Digest of the version `to` and of all sections at it.
   uint64_t digest = 0;
   std::map<std::string, Section> changed;
   // Removed sections and the version that removed them.
@@ -65,15 +65,22 @@
   }
 };
 
-// The part of a section in the digest. Digests are sums of these modulo 2^64,
-// so a delta changes a digest by the sections it touches only.
+// The part of a section in the digest. Digests are sums of these and of the
+// version's part modulo 2^64, so a delta changes a digest by the sections it
+// touches only.
 uint64_t SectionDigest(std::string_view name, const Section& section);
 
+// The part of the version. Without it damage to a delta's version would make a
+// node refuse what follows.
+uint64_t VersionDigest(uint64_t version);
+
 // Not thread-safe.
 class ConfigState {
  public:
   uint64_t Version() const { return this->version; }
-  uint64_t Digest() const { return this->digest; }
+  uint64_t Digest() const {
+    return this->sections_digest + VersionDigest(this->version);
+  }
   const std::map<std::string, Section>& Sections() const {
     return this->sections;
   }
@@ -93,7 +100,7 @@
   Delta Whole() const;
 
  private:
-  uint64_t DigestAfter(const Delta& delta) const;
+  uint64_t SectionsDigestAfter(const Delta& delta) const;
   void Clear();
   void Put(const std::string& name, const Section& section);
   void Remove(const std::string& name, uint64_t version);
@@ -101,7 +108,7 @@
   void Prune();
 
   uint64_t version = 0;
-  uint64_t digest = 0;
+  uint64_t sections_digest = 0;
   std::map<std::string, Section> sections;
   std::map<std::string, uint64_t> tombstones;
   // Names of sections and tombstones by version.
--- a/config/store.cc
+++ b/config/store.cc
@@ -82,6 +82,7 @@
   const Change change = MakeChange(version, diff, submission, now);
   ConfigHead head = {version, change.operator_name, change.time_us,
                      change.change_id, state.Digest()};
+  head.digest += VersionDigest(version) - VersionDigest(state.Version());
   Transaction transaction;
   transaction.id = change.change_id;
   transaction.expects = {{kHeadKey, head_table_version}};
