--- a/membership/agent_heartbeat.cc
+++ b/membership/agent_heartbeat.cc
@@ -115,8 +115,12 @@
 void AgentHeartbeat::HearEntries(const std::vector<EntryContact>& entries) {
   if (entries.empty() || entries == this->entries)
     return;
+  // The first list replaces the seeds at once.
+  const bool is_first = this->entries.empty();
   this->entries = entries;
-  this->ChooseContacts(this->clock.Now());
+  this->has_new_entries = true;
+  if (is_first)
+    this->ChooseContacts(this->clock.Now());
   if (this->listener.on_entries)
     this->listener.thread->Post(
         [notify = this->listener.on_entries, entries] { notify(entries); });
@@ -142,6 +146,8 @@
 
 // The entries know a later incarnation of this name or address: the clock
 // stepped back between two starts. A departure is final and takes no new one.
+// The next beat announces it: two processes that were given the same name would
+// otherwise raise each other's incarnation without a pause.
 void AgentHeartbeat::Restart(uint64_t higher_incarnation) {
   if (this->self.state == MemberState::kLeaving ||
       this->self.state == MemberState::kLeft)
@@ -149,7 +155,6 @@
   this->self.incarnation = higher_incarnation + 1;
   for (auto& [address, contact] : this->contacts)
     contact.has_announcement = false;
-  this->BeatAtOnce();
 }
 
 void AgentHeartbeat::ScheduleBeat(absl::Time at) {
@@ -170,7 +175,7 @@
 
 void AgentHeartbeat::Beat() {
   const absl::Time now = this->clock.Now();
-  this->DropSilentContacts(now);
+  this->ReviewContacts(now);
   this->BeatAtOnce();
 }
 
@@ -199,7 +204,7 @@
   this->socket.Send(EncodeMessage(heartbeat), AddressOf(contact.entry));
 }
 
-void AgentHeartbeat::DropSilentContacts(absl::Time now) {
+void AgentHeartbeat::ReviewContacts(absl::Time now) {
   bool is_silent = false;
   for (const auto& [address, contact] : this->contacts) {
     if (contact.unanswered < this->options.most_unanswered)
@@ -209,7 +214,8 @@
         now + absl::Milliseconds(this->options.avoid_ms);
   }
   // With fewer contacts than wanted, the avoided ones are tried again too.
-  if (is_silent || this->contacts.size() < this->options.contacts)
+  if (is_silent || this->has_new_entries ||
+      this->contacts.size() < this->options.contacts)
     this->ChooseContacts(now);
 }
 
@@ -227,6 +233,7 @@
 }
 
 void AgentHeartbeat::ChooseContacts(absl::Time now) {
+  this->has_new_entries = false;
   std::erase_if(this->avoided_until,
                 [now](const auto& avoided) { return avoided.second < now; });
   std::set<UdpAddress> avoided;
--- a/membership/agent_heartbeat.h
+++ b/membership/agent_heartbeat.h
@@ -101,7 +101,7 @@
   void SendTo(Contact* contact);
   void SendLast(const Contact& contact);
   void BeatAtOnce();
-  void DropSilentContacts(absl::Time now);
+  void ReviewContacts(absl::Time now);
   void ChooseContacts(absl::Time now);
   std::vector<EntryContact> Candidates() const;
 
@@ -120,6 +120,10 @@
   uint64_t newest_config_version = 0;
   std::map<UdpAddress, Contact> contacts;
   std::vector<EntryContact> entries;
+  // A list that came after the first takes effect with the next beat: while two
+  // entries send different lists, an agent that acted on each at once would
+  // move back and forth as fast as they answer.
+  bool has_new_entries = false;
   std::map<UdpAddress, absl::Time> avoided_until;
   Departure departure;
 };
--- a/membership/testing/udp_test.cc
+++ b/membership/testing/udp_test.cc
@@ -208,6 +208,49 @@
   this->thread.Call([&] { socket.Close(); });
 }
 
+// Guards against a storm of datagrams between an agent and entries that hold
+// different lists of entries, as they do for a while after a change.
+TEST_F(Udp, DifferentEntryListsCauseNoStorm) {
+  Metrics other;
+  int64_t datagrams = 0;
+  uint64_t sequence = 0;
+  std::vector<std::unique_ptr<UdpSocket>> sockets;
+  std::vector<EntryContact> contacts;
+  this->thread.Call([&] {
+    for (size_t i = 0; i < 4; ++i) {
+      sockets.push_back(
+          std::make_unique<UdpSocket>(&this->thread.Context(), &other));
+      UdpSocket* socket = sockets.back().get();
+      const auto answer = [&, socket, i](const Message& message,
+                                         const UdpAddress& from) {
+        const auto& heartbeat = std::get<Heartbeat>(message);
+        ++datagrams;
+        sequence = std::max(sequence, heartbeat.brief.sequence);
+        Acknowledgement reply;
+        reply.sequence = heartbeat.brief.sequence;
+        // Each stand-in names all entries but itself.
+        reply.entries = contacts;
+        reply.entries->erase(reply.entries->begin() +
+                             static_cast<std::ptrdiff_t>(i));
+        socket->Send(EncodeMessage(reply), from);
+      };
+      ASSERT_TRUE(socket->Open({"127.0.0.1", 0}, answer).has_value());
+      const std::string name = StrCat("e", i);
+      contacts.push_back(
+          {name, "127.0.0.1", socket->Port(), 9, "erie-a", "erie"});
+      this->seeds.push_back({"127.0.0.1", socket->Port()});
+    }
+  });
+  this->AddAgent("runner", LocalMember("", Role::kAgent));
+  this->Await([&] { return sequence >= 10; });
+  this->thread.Call([&] {
+    // At most two heartbeats, two last ones and two first ones a beat.
+    EXPECT_LE(datagrams, 6 * static_cast<int64_t>(sequence));
+    for (auto& socket : sockets)
+      socket->Close();
+  });
+}
+
 // Guards against agents that crowd at one entry or reach into other regions
 // without need.
 TEST(EntryChoice, SpreadsAgentsWithinTheirRegion) {
