Add the upstream stand-in and the load generator

upstream_standin is an application with slots, a service time distribution, a slowness that is switched over HTTP, and counts of executions by request key. load_generator sends open-loop load from a few threads and counts the ends of its requests, among them answers that belong to another request. The slow upstream bench now includes the detection in its measured time.

--- a/bench/route_sim.h
+++ b/bench/route_sim.h
@@ -277,9 +277,7 @@
       }
       this->attempts[attempt].started = this->Now();
       std::exponential_distribution<double> extra(1);
-      const double factor = this->attempts[attempt].agent == 0
-                                ? this->setup.first_upstream_slowness
-                                : 1;
+      const double factor = this->Slowness(this->attempts[attempt].agent);
       const double us =
           this->setup.service_us * factor * (0.5 + 0.5 * extra(this->random));
       this->Schedule(this->Now() + absl::Microseconds(us), Kind::kFinish,
@@ -287,6 +285,13 @@
     }
   }
 
+  double Slowness(size_t agent) const {
+    const absl::Time from =
+        absl::UnixEpoch() + absl::Milliseconds(this->setup.slow_from_ms);
+    return agent == 0 && this->now >= from ? this->setup.first_upstream_slowness
+                                           : 1;
+  }
+
   void Finish(size_t attempt) {
     Agent& agent = this->AgentOf(attempt);
     agent.queue.Finished(MakeId(attempt),
--- a/bench/sim_setup.h
+++ b/bench/sim_setup.h
@@ -25,13 +25,15 @@
 struct SimSetup {
   std::vector<SimFlow> flows;
   uint64_t seed = 1;
-  // Requests that arrive before `warm_up_ms` are not measured.
-  int64_t warm_up_ms = 1000;
-  int64_t end_ms = 4000;
+  // Requests that arrive before `warm_up_ms` are not measured: queues and
+  // decayed means settle first.
+  int64_t warm_up_ms = 3000;
+  int64_t end_ms = 6000;
   // Mean service time: half of it fixed, half exponential.
   double service_us = 5000;
-  // Factor on the service time of the first upstream.
+  // Factor on the service time of the first upstream from that time on.
   double first_upstream_slowness = 1;
+  int64_t slow_from_ms = 0;
   QueueSettings queue;
   bool retry = true;
   bool hedge = true;
--- a/bench/slow_upstream_bench.cc
+++ b/bench/slow_upstream_bench.cc
@@ -18,6 +18,8 @@
   SimSetup setup;
   setup.seed = seed;
   setup.first_upstream_slowness = slowness;
+  // Within the measured time, so that the detection counts.
+  setup.slow_from_ms = setup.warm_up_ms + 500;
   const double capacity = SimCapacity(setup);
   setup.flows = {{{"growers", Urgency::kUrgent}, 0.25 * capacity, 250},
                  {{"gift-houses", Urgency::kNormal}, 0.25 * capacity, 250}};
@@ -43,6 +45,8 @@
   return infos;
 }
 
+constexpr int kRounds = 200000;
+
 // Mean cost of a choice with its feedback, in microseconds.
 double DecisionUs(uint64_t seed) {
   UpstreamChooser chooser({"domain-1", "region-1"}, nullptr);
@@ -51,9 +55,9 @@
   chooser.SetUpstreams(ManyUpstreams(), now);
   const RequestClass cls = {"growers", Urgency::kUrgent};
   std::vector<std::string> services;
+  services.reserve(20);
   for (int i = 0; i < 20; ++i)
     services.push_back(StrCat("service-", i));
-  constexpr int kRounds = 200000;
   const AgentLoad load = {1, 0, 8, 0, 5000};
   const auto start = std::chrono::steady_clock::now();
   for (int i = 0; i < kRounds; ++i) {
--- a/request/baseline.cc
+++ b/request/baseline.cc
@@ -1,6 +1,7 @@
 #include "request/baseline.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include "absl/random/distributions.h"
 
@@ -13,8 +14,8 @@
                                 absl::Time now) {
   if (now >= deadline)
     return Refusal::kDeadline;
-  return this->queued < this->settings.max_items ? Refusal::kNone
-                                                 : Refusal::kOverload;
+  return this->queued.size() < this->settings.max_items ? Refusal::kNone
+                                                        : Refusal::kOverload;
 }
 
 template <int Lanes>
@@ -26,7 +27,7 @@
   const auto lane =
       std::min<size_t>(static_cast<size_t>(request_class.urgency), Lanes - 1);
   this->lanes[lane].push_back({id, deadline});
-  this->queued += 1;
+  this->queued[id] = {lane, std::prev(this->lanes[lane].end())};
 }
 
 template <int Lanes>
@@ -39,7 +40,7 @@
     if (!expired && this->running >= this->settings.slots)
       continue;
     lane.pop_front();
-    this->queued -= 1;
+    this->queued.erase(item.id);
     this->running += expired ? 0 : 1;
     return QueueExit{item.id, expired ? Refusal::kDeadline : Refusal::kNone};
   }
@@ -48,14 +49,13 @@
 
 template <int Lanes>
 bool LaneQueue<Lanes>::Remove(AttemptId id) {
-  for (std::list<Item>& lane : this->lanes) {
-    const size_t removed =
-        std::erase_if(lane, [id](const Item& item) { return item.id == id; });
-    this->queued -= static_cast<uint32_t>(removed);
-    if (removed > 0)
-      return true;
-  }
-  return false;
+  const auto found = this->queued.find(id);
+  if (found == this->queued.end())
+    return false;
+  const Place place = found->second;
+  this->queued.erase(found);
+  this->lanes[place.first].erase(place.second);
+  return true;
 }
 
 template <int Lanes>
@@ -71,10 +71,10 @@
 AgentLoad LaneQueue<Lanes>::Load() const {
   AgentLoad load;
   load.running = this->running;
-  load.queued = this->queued;
+  load.queued = static_cast<uint32_t>(this->queued.size());
   load.slots = this->settings.slots;
   load.service_us = static_cast<uint64_t>(this->service_us);
-  load.wait_us = static_cast<uint64_t>(this->queued * this->service_us /
+  load.wait_us = static_cast<uint64_t>(load.queued * this->service_us /
                                        this->settings.slots);
   return load;
 }
--- a/request/baseline.h
+++ b/request/baseline.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -50,10 +51,11 @@
     AttemptId id;
     absl::Time deadline;
   };
+  using Place = std::pair<size_t, typename std::list<Item>::iterator>;
 
   QueueSettings settings;
   std::array<std::list<Item>, Lanes> lanes;
-  uint32_t queued = 0;
+  absl::flat_hash_map<AttemptId, Place> queued;
   uint32_t running = 0;
   double service_us = 0;
 };
--- /dev/null
+++ b/request/testing/load_tools_test.cc
@@ -0,0 +1,105 @@
+// Tests of the tools that measure the request path: what they miss, no bench
+// sees.
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "testing/support/http_reply.h"
+#include "testing/support/load_generator.h"
+#include "testing/support/upstream_standin.h"
+
+namespace cuminjunction {
+namespace {
+
+LoadSettings SmallLoad(uint16_t port, const std::string& method) {
+  LoadSettings settings;
+  settings.targets = {{"127.0.0.1", port}};
+  settings.flows = {
+      {.method = method, .per_second = 20000, .timeout_ms = 60000}};
+  settings.connections = 8;
+  settings.duration_ms = 10000;
+  settings.most_requests = 200;
+  return settings;
+}
+
+// Guards against executions that are not counted, so that an order that ran
+// twice would go unnoticed.
+TEST(LoadToolsTest, StandinCountsEachExecutionOfAKey) {
+  UpstreamStandin standin({.service_us = 100});
+  const uint16_t port = standin.Start().value();
+  for (const uint64_t times : {1u, 2u}) {
+    const LoadResult result = RunLoad(SmallLoad(port, "POST"));
+    const std::vector<std::string>& keys =
+        result.flows[0].Keys(CallEnd::kAnswered);
+    EXPECT_GE(keys.size(), 199u);
+    std::map<std::string, uint64_t> executions = standin.Executions();
+    for (const std::string& key : keys)
+      EXPECT_EQ(executions[key], times);
+  }
+}
+
+// Guards against callers whose connection is refused and who are not counted.
+TEST(LoadToolsTest, RefusedConnectionsAreBroken) {
+  // Bound, so that nobody else listens there.
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::acceptor bound(context);
+  bound.open(boost::asio::ip::tcp::v4());
+  bound.bind({boost::asio::ip::address_v4::loopback(), 0});
+  const LoadResult result =
+      RunLoad(SmallLoad(bound.local_endpoint().port(), "GET"));
+  EXPECT_GE(result.flows[0].Count(CallEnd::kBroken), 199u);
+  EXPECT_EQ(result.flows[0].sent, result.flows[0].Count(CallEnd::kBroken));
+}
+
+// Guards against an upstream that answers more requests at a time than it has
+// slots, and against waiting requests that are never served.
+TEST(LoadToolsTest, RequestsBeyondTheSlotsWait) {
+  UpstreamStandin standin({.slots = 1, .service_us = 1000});
+  const uint16_t port = standin.Start().value();
+  const LoadResult result = RunLoad(SmallLoad(port, "GET"));
+  EXPECT_EQ(result.flows[0].Count(CallEnd::kAnswered), result.flows[0].sent);
+  // 200 requests of at least 0.5 ms, due within 10 ms, through one slot.
+  EXPECT_GT(result.flows[0].Quantile(0.99), 50000);
+}
+
+// Guards against replies that are cut at any byte, and against an outcome that
+// is not read.
+TEST(HttpReplyTest, ReadsRepliesByteByByte) {
+  const std::string text =
+      "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 3\r\n"
+      "Cuminjunction-Outcome: not-run\r\nConnection: close\r\n\r\nabc";
+  HttpReplyReader reader;
+  for (const char byte : text.substr(0, text.size() - 1)) {
+    reader.Append(std::string(1, byte));
+    EXPECT_FALSE(reader.Next());
+  }
+  reader.Append("cHTTP");
+  const std::optional<HttpReply> reply = reader.Next();
+  ASSERT_TRUE(reply);
+  EXPECT_EQ(reply->status, 503);
+  EXPECT_EQ(reply->outcome, "not-run");
+  EXPECT_EQ(reply->body, "abc");
+  EXPECT_TRUE(reply->closes);
+  EXPECT_FALSE(reader.Next());
+  EXPECT_FALSE(reader.IsBroken());
+}
+
+// Guards against damaged replies that count as answers.
+TEST(HttpReplyTest, DamagedRepliesAreBroken) {
+  for (const char* text :
+       {"HTTP/1.1 2x0 OK\r\nContent-Length: 0\r\n\r\n", "nonsense\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1x\r\n\r\n"}) {
+    HttpReplyReader reader;
+    reader.Append(text);
+    EXPECT_FALSE(reader.Next()) << text;
+    EXPECT_TRUE(reader.IsBroken()) << text;
+  }
+}
+
+}  // namespace
+}  // namespace cuminjunction
--- /dev/null
+++ b/testing/support/http_reply.h
@@ -0,0 +1,49 @@
+#ifndef TESTING_SUPPORT_HTTP_REPLY_H_
+#define TESTING_SUPPORT_HTTP_REPLY_H_
+
+// Reading of HTTP replies by the load generator.
+//
+//   HttpReplyReader reader;
+//   reader.Append(received);
+//   if (std::optional<HttpReply> reply = reader.Next()) ...
+//
+// The load generator needs several times the throughput of a general client and
+// meets only replies with a Content-Length, so it reads just these.
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace cuminjunction {
+
+struct HttpReply {
+  int status = 0;
+  // Value of Cuminjunction-Outcome; empty without one.
+  std::string outcome;
+  std::string body;
+  bool closes = false;
+};
+
+class HttpReplyReader {
+ public:
+  void Append(std::string_view bytes) { this->buffer.append(bytes); }
+
+  // The next whole reply, or nullopt when more bytes are needed or the bytes
+  // are no reply (then IsBroken()).
+  std::optional<HttpReply> Next();
+
+  bool IsBroken() const { return this->broken; }
+
+  void Clear() {
+    this->buffer.clear();
+    this->broken = false;
+  }
+
+ private:
+  std::string buffer;
+  bool broken = false;
+};
+
+}  // namespace cuminjunction
+
+#endif  // TESTING_SUPPORT_HTTP_REPLY_H_
