--- a/request/entry_request.cc
+++ b/request/entry_request.cc
@@ -130,10 +130,12 @@
 }
 
 // The methods that HTTP defines as idempotent.
+constexpr std::array<std::string_view, 5> kIdempotentMethods = {
+    "GET", "HEAD", "PUT", "DELETE", "OPTIONS"};
+
 bool IsIdempotentByDefault(std::string_view method) {
-  static constexpr std::array<std::string_view, 5> kMethods = {
-      "GET", "HEAD", "PUT", "DELETE", "OPTIONS"};
-  return std::find(kMethods.begin(), kMethods.end(), method) != kMethods.end();
+  return std::find(kIdempotentMethods.begin(), kIdempotentMethods.end(),
+                   method) != kIdempotentMethods.end();
 }
 
 bool IsIdempotent(const Service& service, const std::string& method) {
--- /dev/null
+++ b/request/testing/agent_test.cc
@@ -0,0 +1,297 @@
+// An agent with a scripted upstream against entries that a test plays.
+
+#include <boost/asio/write.hpp>
+#include <future>
+
+#include "base/time.h"
+#include "request/testing/script_peer.h"
+
+namespace cuminjunction {
+namespace {
+
+constexpr uint64_t kEntry = 7;
+
+Submit SubmitOf(uint64_t number,
+                const std::string& method = "POST",
+                absl::Duration timeout = absl::Seconds(20)) {
+  Submit submit;
+  submit.id = {{kEntry, number}, 1};
+  submit.account = "growers";
+  submit.service = "runner";
+  submit.deadline_us = ToMicros(absl::Now() + timeout);
+  submit.idempotent = method == "GET";
+  submit.method = method;
+  submit.path = StrCat("/", number);
+  return submit;
+}
+
+struct AgentFixture {
+  explicit AgentFixture(ScriptUpstream::Script script, uint32_t slots = 8)
+      : log(""),
+        upstream(std::move(script)),
+        agent("agent", upstream.Port(), &log, &metrics, slots) {
+    EXPECT_TRUE(WaitUntil(
+        [this] { return this->agent.server->State() == AgentState::kUp; }));
+  }
+
+  uint16_t Port() const { return this->agent.endpoint.port; }
+  uint64_t Count(const std::string& name) {
+    return this->metrics.GetCounter(name).Value();
+  }
+
+  Log log;
+  Metrics metrics;
+  ScriptUpstream upstream;
+  TestAgent agent;
+};
+
+ScriptReaction Slow(std::chrono::milliseconds delay) {
+  ScriptReaction reaction = Reply("slow");
+  reaction.delay = delay;
+  return reaction;
+}
+
+// Guards against a Submit that arrives again after a reconnect running twice
+// (P6).
+TEST(AgentTest, DuplicatedSubmitRunsOnce) {
+  AgentFixture fixture([](const ScriptRequest&) {
+    return Slow(std::chrono::milliseconds(100));
+  });
+  ScriptPeer first("entry");
+  first.Connect(fixture.Port(), kEntry);
+  const Submit submit = SubmitOf(1);
+  first.Send(submit);
+  ASSERT_TRUE(WaitUntil([&] { return fixture.upstream.Count() == 1; }));
+  first.Break();
+  ScriptPeer second("entry");
+  second.Connect(fixture.Port(), kEntry);
+  second.Send(submit);
+  EXPECT_EQ(second.Wait<AnswerHead>(1)[0].bytes, "slow");
+  second.Send(submit);
+  second.Wait<AnswerBroken>(1);
+  EXPECT_EQ(fixture.upstream.Count(), 1);
+}
+
+// Guards against a frame that was delayed past its cancellation starting (P5).
+TEST(AgentTest, CancelBeforeSubmitLeavesATombstone) {
+  AgentFixture fixture([](const ScriptRequest&) { return Reply("ran"); });
+  ScriptPeer entry("entry");
+  entry.Connect(fixture.Port(), kEntry);
+  const Submit submit = SubmitOf(1);
+  entry.Send(Cancel{submit.id, submit.deadline_us});
+  entry.Wait<Refused>(1);
+  entry.Send(submit);
+  EXPECT_EQ(entry.Wait<Refused>(2)[1].reason, Refusal::kTombstone);
+  EXPECT_EQ(fixture.upstream.Count(), 0);
+}
+
+// Guards against an attempt starting after it was refused for its deadline
+// while it waited (P5).
+TEST(AgentTest, RefusedWhileQueuedNeverStarts) {
+  AgentFixture fixture(
+      [](const ScriptRequest&) { return Slow(std::chrono::milliseconds(150)); },
+      1);
+  ScriptPeer entry("entry");
+  entry.Connect(fixture.Port(), kEntry);
+  entry.Send(SubmitOf(1));
+  Submit waiting = SubmitOf(2, "POST", absl::Milliseconds(40));
+  entry.Send(waiting);
+  EXPECT_EQ(entry.Wait<Refused>(1)[0].reason, Refusal::kDeadline);
+  // The late copy claims a later deadline.
+  waiting.deadline_us = SubmitOf(2).deadline_us;
+  entry.Send(waiting);
+  EXPECT_EQ(entry.Wait<Refused>(2)[1].reason, Refusal::kTombstone);
+  entry.Wait<AnswerHead>(1);
+  EXPECT_EQ(fixture.upstream.Count(), 1);
+}
+
+// Guards against an attempt of an entry that is gone running, and against its
+// slot being lost.
+TEST(AgentTest, EntryConnectionLostDropsWhatWaits) {
+  AgentFixture fixture(
+      [](const ScriptRequest&) { return Slow(std::chrono::milliseconds(100)); },
+      1);
+  ScriptPeer lost("entry");
+  lost.Connect(fixture.Port(), kEntry);
+  lost.Send(SubmitOf(1));
+  lost.Send(SubmitOf(2));
+  ASSERT_TRUE(WaitUntil([&] { return fixture.upstream.Count() == 1; }));
+  lost.Break();
+  ScriptPeer entry("entry");
+  entry.Connect(fixture.Port(), kEntry);
+  entry.Send(SubmitOf(3));
+  entry.Wait<AnswerHead>(1);
+  EXPECT_EQ(fixture.upstream.Count(), 2);
+}
+
+// Guards against a part of an upstream's answer being sent as the whole (P4).
+TEST(AgentTest, BrokenAnswersAreReportedAsBroken) {
+  AgentFixture fixture([](const ScriptRequest& request) -> ScriptReaction {
+    const auto close = std::chrono::milliseconds(0);
+    if (request.StartsWith("POST /1 "))
+      return {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n12345", close,
+              true};
+    if (request.StartsWith("POST /2 ")) {
+      return {
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "5\r\n12345\r\n",
+          close, true};
+    }
+    // Without a length the end can't be told from a crash.
+    if (request.StartsWith("POST /3 "))
+      return {"HTTP/1.1 200 OK\r\n\r\n12345", close, true};
+    if (request.StartsWith("POST /4 "))
+      return {"garbage\r\n\r\n", close, true};
+    return {"", close, true};
+  });
+  ScriptPeer entry("entry");
+  entry.Connect(fixture.Port(), kEntry);
+  for (uint64_t number = 1; number <= 5; ++number) {
+    entry.Send(SubmitOf(number));
+    entry.Wait<AnswerBroken>(number);
+  }
+  EXPECT_EQ(entry.Received<AnswerHead>().size(), 0u);
+  EXPECT_EQ(fixture.upstream.Count(), 5);
+}
+
+// Guards against libcurl sending an order again when a kept connection ends
+// without an answer (P6).
+TEST(AgentTest, OrderIsNotResentOnANewConnection) {
+  AgentFixture fixture([](const ScriptRequest& request) -> ScriptReaction {
+    if (request.StartsWith("GET"))
+      return Reply("kept");
+    return {"", std::chrono::milliseconds(0), true};
+  });
+  ScriptPeer entry("entry");
+  entry.Connect(fixture.Port(), kEntry);
+  entry.Send(SubmitOf(1, "GET"));
+  entry.Wait<AnswerHead>(1);
+  entry.Send(SubmitOf(2, "POST"));
+  entry.Wait<AnswerBroken>(1);
+  EXPECT_EQ(fixture.upstream.Count(), 2);
+}
+
+// Guards against "unknown" for a request that found no upstream, and against
+// an agent that stays down after the upstream has come back.
+TEST(AgentTest, UpstreamDownRefusesUntilAProbeSucceeds) {
+  Log log("");
+  Metrics metrics;
+  // A port that is free: the upstream that had it is gone.
+  auto gone = std::make_unique<ScriptUpstream>(
+      [](const ScriptRequest&) { return Reply(""); });
+  const uint16_t port = gone->Port();
+  gone->Stop();
+  TestAgent agent("agent", port, &log, &metrics);
+  ScriptPeer entry("entry");
+  entry.Connect(agent.endpoint.port, kEntry);
+  entry.Send(SubmitOf(1));
+  EXPECT_EQ(entry.Wait<Refused>(1)[0].reason, Refusal::kUpstreamDown);
+  EXPECT_EQ(agent.server->State(), AgentState::kDown);
+  ScriptUpstream back([](const ScriptRequest&) { return Reply("back"); }, port);
+  ASSERT_TRUE(
+      WaitUntil([&] { return agent.server->State() == AgentState::kUp; }));
+  entry.Send(SubmitOf(2));
+  EXPECT_EQ(entry.Wait<AnswerHead>(1)[0].bytes, "back");
+}
+
+// Guards against new work on an agent that leaves (P7) and against its end
+// cutting off a request in flight (P8).
+TEST(AgentTest, LeavingRefusesNewWorkAndFinishesTheOld) {
+  AgentFixture fixture([](const ScriptRequest&) {
+    return Slow(std::chrono::milliseconds(100));
+  });
+  ScriptPeer entry("entry");
+  entry.Connect(fixture.Port(), kEntry);
+  entry.Send(SubmitOf(1));
+  ASSERT_TRUE(WaitUntil([&] { return fixture.upstream.Count() == 1; }));
+  std::promise<void> done;
+  fixture.agent.server->Leave([&] { done.set_value(); });
+  entry.Wait<Leaving>(1);
+  EXPECT_EQ(fixture.agent.server->State(), AgentState::kLeaving);
+  entry.Send(SubmitOf(2));
+  EXPECT_EQ(entry.Wait<Refused>(1)[0].reason, Refusal::kLeaving);
+  EXPECT_EQ(entry.Wait<AnswerHead>(1)[0].bytes, "slow");
+  entry.Break();
+  done.get_future().wait();
+  EXPECT_EQ(fixture.upstream.Count(), 1);
+}
+
+// Guards against a service name of another upstream being called here.
+TEST(AgentTest, UnknownServiceIsRefused) {
+  AgentFixture fixture([](const ScriptRequest&) { return Reply(""); });
+  ScriptPeer entry("entry");
+  entry.Connect(fixture.Port(), kEntry);
+  Submit submit = SubmitOf(1);
+  submit.service = "other";
+  entry.Send(submit);
+  EXPECT_EQ(entry.Wait<Refused>(1)[0].reason, Refusal::kUnknownService);
+}
+
+std::string FrameOf(const std::string& payload) {
+  std::string wire;
+  AppendFrame(payload, &wire);
+  return wire;
+}
+
+template <class T>
+std::string FrameOf(const T& message) {
+  std::string payload;
+  AppendMessage(message, &payload);
+  return FrameOf(payload);
+}
+
+// Guards against damaged or foreign bytes ending the agent, or being obeyed.
+TEST(AgentTest, DamagedBytesCloseTheirConnectionOnly) {
+  AgentFixture fixture([](const ScriptRequest&) { return Reply("fine"); });
+  const std::string hello = FrameOf(Hello{kProtocolVersion, "entry", kEntry});
+  Submit foreign = SubmitOf(1);
+  foreign.id.request.entry_incarnation = kEntry + 1;
+  std::string flipped = FrameOf(SubmitOf(1));
+  flipped[20] = static_cast<char>(flipped[20] ^ 1);
+  const std::vector<std::string> bad = {
+      std::string("GET / HTTP/1.1\r\n\r\n"),
+      std::string("\xff\xff\xff\xff\0\0\0\0", 8),
+      FrameOf(std::string("")),
+      FrameOf(std::string("\x7f")),
+      FrameOf(SubmitOf(1)),
+      hello + hello,
+      hello + flipped,
+      hello + FrameOf(foreign),
+      hello + FrameOf(Leaving{}),
+      FrameOf(Hello{kProtocolVersion + 1, "entry", kEntry}),
+  };
+  for (const std::string& bytes : bad) {
+    ScriptPeer peer("raw");
+    peer.ConnectRaw(fixture.Port());
+    peer.SendRaw(bytes);
+    EXPECT_TRUE(peer.RawClosed());
+  }
+  EXPECT_TRUE(WaitUntil([&] {
+    return fixture.Count("agent_links_damaged_total") == bad.size();
+  }));
+  EXPECT_EQ(fixture.upstream.Count(), 0);
+  ScriptPeer entry("entry");
+  entry.Connect(fixture.Port(), kEntry);
+  entry.Send(SubmitOf(2));
+  EXPECT_EQ(entry.Wait<AnswerHead>(1)[0].bytes, "fine");
+}
+
+// Guards against a body that is longer than announced, or whose end is wrong,
+// reaching the upstream.
+TEST(AgentTest, BodyThatDoesNotMatchItsSizeIsNotRun) {
+  AgentFixture fixture([](const ScriptRequest&) { return Reply(""); });
+  for (const bool last : {false, true}) {
+    ScriptPeer entry("entry");
+    entry.Connect(fixture.Port(), kEntry);
+    Submit submit = SubmitOf(last ? 1 : 2);
+    submit.body_size = 10;
+    submit.bytes = "12345";
+    entry.Send(submit);
+    entry.Send(BodyChunk{submit.id, last, last ? "123" : "123456"});
+    EXPECT_TRUE(WaitUntil([&] { return entry.IsClosed(); }));
+  }
+  EXPECT_EQ(fixture.upstream.Count(), 0);
+}
+
+}  // namespace
+}  // namespace cuminjunction
--- a/request/testing/script_upstream.h
+++ b/request/testing/script_upstream.h
@@ -50,11 +50,11 @@
 
   // Probes are answered without the script, which runs on the upstream's
   // thread.
-  explicit ScriptUpstream(Script script)
+  explicit ScriptUpstream(Script script, uint16_t port = 0)
       : script(std::move(script)),
         thread("upstream"),
         acceptor(thread.Context(),
-                 {boost::asio::ip::address_v4::loopback(), 0}),
+                 {boost::asio::ip::address_v4::loopback(), port}),
         port(this->acceptor.local_endpoint().port()) {
     this->Accept();
     this->thread.Start();
@@ -64,6 +64,8 @@
 
   // Ends as a crash does: all connections break.
   void Stop() {
+    if (std::exchange(this->stopped, true))
+      return;
     this->thread.Call([this] {
       boost::system::error_code ignored;
       this->acceptor.close(ignored);
@@ -178,6 +180,7 @@
   EventThread thread;
   boost::asio::ip::tcp::acceptor acceptor;
   uint16_t port;
+  bool stopped = false;
   std::vector<std::weak_ptr<Session>> sessions;
 };
 
--- a/request/upstream_caller.cc
+++ b/request/upstream_caller.cc
@@ -22,12 +22,13 @@
 }
 
 // Header fields of one connection, which the agent makes anew on the other.
+constexpr std::string_view kHopByHopNames[] = {
+    "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length",
+    "TE",         "Trailer",    "Upgrade",           "Proxy-Connection"};
+
 bool IsHopByHop(std::string_view name) {
-  static constexpr std::string_view kNames[] = {
-      "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length",
-      "TE",         "Trailer",    "Upgrade",           "Proxy-Connection"};
   return std::any_of(
-      std::begin(kNames), std::end(kNames),
+      std::begin(kHopByHopNames), std::end(kHopByHopNames),
       [&](std::string_view other) { return EqualsIgnoreCase(name, other); });
 }
 
