--- a/request/testing/path_test.cc
+++ b/request/testing/path_test.cc
@@ -1,5 +1,7 @@
 // The request path over real sockets: entry, agent and upstream.
 
+#include <future>
+
 #include "request/testing/path_harness.h"
 
 namespace cuminjunction {
@@ -22,5 +24,171 @@
   EXPECT_EQ(path.Call("GET", "/x").status, 200);
 }
 
+// Guards against chunks of large bodies being lost, mixed up or reordered when
+// several travel at a time in both directions.
+TEST(PathTest, LargeBodiesBothWays) {
+  ScriptUpstream upstream([](const ScriptRequest& request) {
+    return Reply(request.body + request.body.substr(0, 1));
+  });
+  PathHarness path;
+  path.AddAgent(upstream.Port());
+  ASSERT_TRUE(path.Connect());
+  std::vector<std::future<bool>> calls;
+  for (int i = 0; i < 4; ++i) {
+    calls.push_back(std::async(std::launch::async, [&path, i] {
+      std::string body(kMaxBodyBytes - 1 - static_cast<size_t>(i) * 100'000,
+                       'a');
+      for (size_t at = 0; at < body.size(); ++at)
+        body[at] = static_cast<char>(
+            'a' + (at * 31 + at / 65536 + static_cast<size_t>(i)) % 26);
+      const CallerAnswer answer = path.Call("PUT", "/", body);
+      return answer.status == 200 && answer.body == body + body.substr(0, 1);
+    }));
+  }
+  for (std::future<bool>& call : calls)
+    EXPECT_TRUE(call.get());
+}
+
+// Guards against an answer above the limit being cut and passed on.
+TEST(PathTest, AnswerAboveTheLimitIsUnknown) {
+  ScriptUpstream upstream([](const ScriptRequest&) {
+    return Reply(std::string(kMaxBodyBytes + 1, 'x'));
+  });
+  PathHarness path;
+  path.AddAgent(upstream.Port());
+  ASSERT_TRUE(path.Connect());
+  const CallerAnswer answer = path.Call("POST", "/", "x");
+  EXPECT_EQ(answer.status, 502);
+  EXPECT_EQ(answer.Outcome(), "unknown");
+}
+
+// Guards against an entry that reports an order as not run, or sends it again,
+// when its agent is killed in the middle of it; what other agents can repeat
+// is repeated.
+TEST(PathTest, AgentKilledMidRequest) {
+  const auto slow = [](const ScriptRequest&) {
+    ScriptReaction reaction = Reply("slow");
+    reaction.delay = std::chrono::milliseconds(100);
+    return reaction;
+  };
+  ScriptUpstream first(slow);
+  ScriptUpstream second(slow);
+  PathHarness path;
+  TestAgent* killed = path.AddAgent(first.Port());
+  path.AddAgent(second.Port());
+  ASSERT_TRUE(path.Connect());
+  std::vector<std::future<CallerAnswer>> orders;
+  std::vector<std::future<CallerAnswer>> reads;
+  for (int i = 0; i < 4; ++i) {
+    orders.push_back(std::async(std::launch::async, [&path] {
+      return path.Call("POST", "/order", "x");
+    }));
+    reads.push_back(std::async(std::launch::async,
+                               [&path] { return path.Call("GET", "/read"); }));
+  }
+  ASSERT_TRUE(WaitUntil([&] { return first.Count() + second.Count() == 8; }));
+  killed->Stop();
+  int answered = 0;
+  for (std::future<CallerAnswer>& order : orders) {
+    const std::string outcome = order.get().Outcome();
+    EXPECT_NE(outcome, "not-run");
+    answered += outcome == "answered" ? 1 : 0;
+  }
+  for (std::future<CallerAnswer>& read : reads)
+    EXPECT_EQ(read.get().status, 200);
+  EXPECT_LT(answered, 4);
+}
+
+// Callers that send orders without a pause until told to end. Counts the
+// outcomes.
+struct Load {
+  explicit Load(const PathHarness& path) {
+    for (int i = 0; i < 6; ++i) {
+      this->callers.emplace_back([this, &path] {
+        while (!this->ending) {
+          const CallerAnswer answer = path.Call("POST", "/order", "x");
+          if (answer.code == CURLE_COULDNT_CONNECT)
+            return;
+          const bool good =
+              answer.code == CURLE_OK && answer.Outcome() == "answered";
+          ++(good ? this->answered : this->failed);
+        }
+      });
+    }
+  }
+
+  void End() {
+    this->ending = true;
+    for (std::thread& caller : this->callers)
+      caller.join();
+  }
+
+  std::atomic<bool> ending = false;
+  std::atomic<int> answered = 0;
+  std::atomic<int> failed = 0;
+  std::vector<std::thread> callers;
+};
+
+// Guards against the planned stop of an agent cutting off a request or leaving
+// one unknown (P8).
+TEST(PathTest, AgentLeavesUnderLoad) {
+  ScriptUpstream upstream([](const ScriptRequest&) { return Reply("done"); });
+  PathHarness path({}, {.burst = 1e6});
+  for (int i = 0; i < 3; ++i)
+    path.AddAgent(upstream.Port());
+  ASSERT_TRUE(path.Connect());
+  Load load(path);
+  for (int i = 0; i < 2; ++i) {
+    const int before = load.answered;
+    ASSERT_TRUE(WaitUntil([&] { return load.answered > before + 200; }));
+    TestAgent* agent = path.agents[static_cast<size_t>(i)].get();
+    std::promise<void> done;
+    agent->server->Leave([&] { done.set_value(); });
+    done.get_future().wait();
+    agent->Stop();
+  }
+  const int before = load.answered;
+  ASSERT_TRUE(WaitUntil([&] { return load.answered > before + 200; }));
+  load.End();
+  EXPECT_EQ(load.failed, 0);
+}
+
+// Guards against the planned stop of an entry cutting off a request (P8).
+TEST(PathTest, EntryDrainsUnderLoad) {
+  ScriptUpstream upstream([](const ScriptRequest&) {
+    ScriptReaction reaction = Reply("done");
+    reaction.delay = std::chrono::milliseconds(5);
+    return reaction;
+  });
+  EntryOptions options;
+  options.drain_grace_ms = 100;
+  PathHarness path(options);
+  path.AddAgent(upstream.Port());
+  ASSERT_TRUE(path.Connect());
+  Load load(path);
+  ASSERT_TRUE(WaitUntil([&] { return load.answered > 100; }));
+  std::promise<void> done;
+  path.entry->Drain([&] { done.set_value(); });
+  done.get_future().wait();
+  path.entry->Stop();
+  load.End();
+  EXPECT_EQ(load.failed, 0);
+}
+
+// Guards against memory that grows without bound for callers that send bodies
+// and do not read.
+TEST(PathTest, HeldBytesAreBounded) {
+  ScriptUpstream upstream([](const ScriptRequest&) { return Reply("x"); });
+  EntryOptions options;
+  options.http.max_held_bytes = 100'000;
+  PathHarness path(options);
+  path.AddAgent(upstream.Port());
+  ASSERT_TRUE(path.Connect());
+  const CallerAnswer answer = path.Call("POST", "/", std::string(200'000, 'x'));
+  EXPECT_EQ(answer.status, 503);
+  EXPECT_EQ(answer.Outcome(), "not-run");
+  EXPECT_EQ(path.Call("POST", "/", std::string(50'000, 'x')).status, 200);
+}
+
 }  // namespace
 }  // namespace cuminjunction
