--- a/request/entry_front.cc
+++ b/request/entry_front.cc
@@ -24,6 +24,10 @@
   }
 }
 
+// Callers that have begun to open a connection get this long to finish; a few
+// round trips between regions.
+constexpr absl::Duration kHandshakeTime = absl::Milliseconds(100);
+
 }  // namespace
 
 EntryFront::EntryFront(EventThread* thread,
@@ -281,29 +285,39 @@
   this->PollDrain();
 }
 
-// Callers with a connection of their own learn of the end by the header
-// "Connection: close" of an answer, so connections end without a request on
-// its way, but for those that are idle all through the grace period.
 void EntryFront::PollDrain() {
   this->drain_timer.expires_after(kDrainPoll);
   this->drain_timer.async_wait([this](std::error_code error) {
-    if (error || this->stopped)
-      return;
-    const absl::Time now = absl::Now();
-    if (now >= this->drain_until)
-      this->front->StopListening();
-    const absl::Time linger_until =
-        this->drain_until + absl::Milliseconds(this->options.drain_linger_ms);
-    const bool is_idle =
-        this->requests.empty() && this->front->OpenCount() == 0;
-    if (is_idle && now >= this->drain_until &&
-        (this->front->ConnectionCount() == 0 || now >= linger_until))
-      this->EndDrain();
-    else
-      this->PollDrain();
+    if (!error && !this->stopped)
+      this->StepDrain(absl::Now());
   });
 }
 
+// Callers with a connection of their own learn of the end by the header
+// "Connection: close" of an answer, so connections end without a request on
+// its way, but for those that are idle all through the grace period.
+void EntryFront::StepDrain(absl::Time now) {
+  if (now >= this->drain_until && this->drain_until != absl::InfinitePast()) {
+    this->drain_until = absl::InfinitePast();
+    this->listen_until = now + kHandshakeTime;
+    this->front->IgnoreNewConnections();
+  }
+  if (now >= this->listen_until &&
+      this->linger_until == absl::InfiniteFuture()) {
+    this->linger_until =
+        now + absl::Milliseconds(this->options.drain_linger_ms);
+    this->front->StopListening();
+  }
+  const bool is_idle = this->requests.empty() && this->front->OpenCount() == 0;
+  const bool is_silent =
+      this->front->ConnectionCount() == 0 || now >= this->linger_until;
+  const bool is_closed = this->linger_until != absl::InfiniteFuture();
+  if (is_closed && is_idle && is_silent)
+    this->EndDrain();
+  else
+    this->PollDrain();
+}
+
 void EntryFront::EndDrain() {
   const std::function<void()> done = std::move(this->drain_done);
   this->drain_done = nullptr;
--- a/request/entry_front.h
+++ b/request/entry_front.h
@@ -158,6 +158,7 @@
   void OnGraceEnded(Request* request);
   void BeginDrain(std::function<void()> done);
   void PollDrain();
+  void StepDrain(absl::Time now);
   void EndDrain();
   void StopAll();
 
@@ -214,7 +215,11 @@
   std::string json;
 
   bool stopped = false;
+  // Ends of the steps of a drain: the grace period, the time for connections
+  // that are being opened, and that for idle connections.
   absl::Time drain_until = absl::InfiniteFuture();
+  absl::Time listen_until = absl::InfiniteFuture();
+  absl::Time linger_until = absl::InfiniteFuture();
   std::function<void()> drain_done;
   // Ends with this object, for messages from other threads.
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/request/http_front.cc
+++ b/request/http_front.cc
@@ -1,11 +1,15 @@
 #include "request/http_front.h"
 
 #include <arpa/inet.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <boost/asio/post.hpp>
 #include <cstring>
+#include <iterator>
 #include <utility>
 
 namespace cuminjunction {
@@ -116,7 +120,6 @@
   exchange->answered = true;
   exchange->held += exchange->reply.body.size();
   this->held_bytes += exchange->reply.body.size();
-  --this->open;
   if (!exchange->suspended)
     return;
   // libmicrohttpd calls OnAccess() again, which queues the reply.
@@ -125,12 +128,41 @@
   this->ScheduleRun();
 }
 
+void HttpFront::IgnoreNewConnections() {
+  if (this->daemon == nullptr)
+    return;
+  const MHD_DaemonInfo* info =
+      MHD_get_daemon_info(this->daemon, MHD_DAEMON_INFO_LISTEN_FD);
+  // Drops the packets that open a connection: those with the flag SYN in the
+  // byte of flags of the TCP header.
+  sock_filter filter[] = {
+      BPF_STMT(BPF_LD | BPF_B | BPF_ABS, 13),
+      BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, 0x02, 0, 1),
+      BPF_STMT(BPF_RET | BPF_K, 0),
+      BPF_STMT(BPF_RET | BPF_K, 0xffffffff),
+  };
+  const sock_fprog program = {std::size(filter), filter};
+  setsockopt(info->listen_fd, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+             sizeof(program));
+}
+
 void HttpFront::StopListening() {
   if (this->daemon == nullptr)
     return;
   const MHD_socket socket = MHD_quiesce_daemon(this->daemon);
-  if (socket != MHD_INVALID_SOCKET)
-    close(socket);
+  if (socket == MHD_INVALID_SOCKET)
+    return;
+  sockaddr_in address = {};
+  socklen_t size = sizeof(address);
+  int accepted = 0;
+  while ((accepted = accept4(socket, reinterpret_cast<sockaddr*>(&address),
+                             &size, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+    MHD_add_connection(this->daemon, accepted,
+                       reinterpret_cast<sockaddr*>(&address), size);
+    size = sizeof(address);
+  }
+  close(socket);
+  this->ScheduleRun();
 }
 
 void HttpFront::Stop() {
@@ -229,7 +261,6 @@
 
 MHD_Result HttpFront::HandOver(HttpExchange* exchange) {
   exchange->handed_over = true;
-  ++this->open;
   this->handler(exchange);
   if (exchange->answered)
     return this->QueueReply(exchange);
@@ -252,9 +283,10 @@
   return result;
 }
 
-void* HttpFront::OnUri(void* /*self*/,
+void* HttpFront::OnUri(void* self,
                        const char* uri,
                        MHD_Connection* connection) {
+  ++static_cast<HttpFront*>(self)->open;
   auto* exchange = new HttpExchange;
   exchange->path = uri;
   exchange->connection = connection;
@@ -292,6 +324,7 @@
   if (exchange == nullptr)
     return;
   front->held_bytes -= exchange->held;
+  --front->open;
   delete exchange;
 }
 
--- a/request/http_front.h
+++ b/request/http_front.h
@@ -111,10 +111,17 @@
   // From now on each answer ends its connection.
   void CloseConnectionsAfterAnswers() { this->closing = true; }
 
-  // Accepts no connection any more; those that exist go on.
+  // Ignores new connections from now on, while those that the system has
+  // begun to open are still accepted. Closing the socket at once would reset
+  // connections whose callers have sent a request already.
+  void IgnoreNewConnections();
+
+  // Closes the listening socket; connections that exist go on. To be called
+  // a few round trips after IgnoreNewConnections().
   void StopListening();
 
-  // Connections that exist and exchanges handed over but not answered.
+  // Connections that exist, and requests of which a part has arrived and the
+  // answer is not written in whole.
   unsigned ConnectionCount() const { return this->connections; }
   size_t OpenCount() const { return this->open; }
 
