--- a/task/planner_loop.h
+++ b/task/planner_loop.h
@@ -75,7 +75,7 @@
         rows(options.rows_per_second, options.rows_burst) {}
 
   // Called with each worker whose row a commit has changed.
-  void SetNudge(Nudge callback) { this->nudge = std::move(callback); }
+  void SetNudge(const Nudge& callback) { this->nudge = callback; }
 
   // Follows, decides and commits once.
   void Tick() {
--- a/task/state.cc
+++ b/task/state.cc
@@ -303,9 +303,9 @@
 }
 
 const OwnerTasks& State::TasksOf(const std::string& owner) const {
-  static const OwnerTasks* const kNone = new OwnerTasks();
+  static const OwnerTasks* const none = new OwnerTasks();
   const OwnerTasks* found = FindEntry(this->owner_tasks, owner);
-  return found == nullptr ? *kNone : *found;
+  return found == nullptr ? *none : *found;
 }
 
 Size State::UseOf(const std::string& account) const {
--- a/task/state.h
+++ b/task/state.h
@@ -21,6 +21,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -58,6 +59,14 @@
   bool operator==(const AttemptOutcome&) const = default;
 };
 
+// An order of sizes for maps.
+struct SizeLess {
+  bool operator()(const Size& a, const Size& b) const {
+    return std::tie(a.millicores, a.memory_mib, a.accelerators) <
+           std::tie(b.millicores, b.memory_mib, b.accelerators);
+  }
+};
+
 class State {
  public:
   // Ids of tasks in the order in which they are to be placed: time of creation,
@@ -111,7 +120,7 @@
   size_t WaitingCount() const;
 
   // Waiting tasks, also those in back-off, by their size.
-  const std::map<Size, std::set<std::string>>& WaitingSizes() const {
+  const std::map<Size, std::set<std::string>, SizeLess>& WaitingSizes() const {
     return this->waiting_sizes;
   }
 
@@ -184,7 +193,7 @@
   Size use_by_urgency[kUrgencyCount];
   Size capacity;
   std::map<std::string, Queue> waiting[kUrgencyCount];
-  std::map<Size, std::set<std::string>> waiting_sizes;
+  std::map<Size, std::set<std::string>, SizeLess> waiting_sizes;
   // Tasks in back-off by its end, and the time up to which Wake() has run.
   Queue delayed;
   int64_t awake_until_us = 0;
@@ -201,7 +210,7 @@
   // row may change while it runs.
   std::unordered_map<std::string, std::pair<std::string, std::string>> places;
   // Number of workers by capacity.
-  std::map<Size, int> capacities;
+  std::map<Size, int, SizeLess> capacities;
   uint64_t capacity_changes = 0;
   std::set<std::string> changed_owners;
   std::vector<AttemptOutcome> outcomes;
