--- a/task/state.h
+++ b/task/state.h
@@ -21,6 +21,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -58,6 +59,14 @@
   bool operator==(const AttemptOutcome&) const = default;
 };
 
+// An order of sizes for maps.
+struct SizeLess {
+  bool operator()(const Size& a, const Size& b) const {
+    return std::tie(a.millicores, a.memory_mib, a.accelerators) <
+           std::tie(b.millicores, b.memory_mib, b.accelerators);
+  }
+};
+
 class State {
  public:
   // Ids of tasks in the order in which they are to be placed: time of creation,
@@ -65,10 +74,14 @@
   using Queue = std::set<std::pair<int64_t, std::string>>;
 
   // Takes a row that was read. Rows of other prefixes are ignored, and so are
-  // rows older than the known ones. Fails with a RowError, and the picture
-  // keeps what it had.
+  // rows that are not newer than the known ones. Fails with a RowError, and the
+  // picture keeps what it had.
   Status Apply(const Row& row);
 
+  // Takes a row that was read to undo a decision that was not committed: the
+  // row may have the known version.
+  Status Restore(const Row& row);
+
   // The row does not exist.
   void Remove(const std::string& key);
 
@@ -111,7 +124,7 @@
   size_t WaitingCount() const;
 
   // Waiting tasks, also those in back-off, by their size.
-  const std::map<Size, std::set<std::string>>& WaitingSizes() const {
+  const std::map<Size, std::set<std::string>, SizeLess>& WaitingSizes() const {
     return this->waiting_sizes;
   }
 
@@ -167,6 +180,7 @@
   std::vector<AttemptOutcome> TakeOutcomes();
 
  private:
+  bool IsKnown(const Row& row) const;
   void PutTask(TaskEntry entry);
   void PutWorker(WorkerEntry entry);
   void IndexTask(const TaskRow& row, int sign);
@@ -184,7 +198,7 @@
   Size use_by_urgency[kUrgencyCount];
   Size capacity;
   std::map<std::string, Queue> waiting[kUrgencyCount];
-  std::map<Size, std::set<std::string>> waiting_sizes;
+  std::map<Size, std::set<std::string>, SizeLess> waiting_sizes;
   // Tasks in back-off by its end, and the time up to which Wake() has run.
   Queue delayed;
   int64_t awake_until_us = 0;
@@ -201,7 +215,7 @@
   // row may change while it runs.
   std::unordered_map<std::string, std::pair<std::string, std::string>> places;
   // Number of workers by capacity.
-  std::map<Size, int> capacities;
+  std::map<Size, int, SizeLess> capacities;
   uint64_t capacity_changes = 0;
   std::set<std::string> changed_owners;
   std::vector<AttemptOutcome> outcomes;
