--- a/membership/testing/udp_test.cc
+++ b/membership/testing/udp_test.cc
@@ -227,7 +227,7 @@
       sockets.push_back(
           std::make_unique<UdpSocket>(&this->thread.Context(), &other));
       UdpSocket* socket = sockets.back().get();
-      const auto answer = [&, socket, i](const Message& message,
+      const auto answer = [&, socket, i](const Datagram& message,
                                          const UdpAddress& from) {
         const auto& heartbeat = std::get<Heartbeat>(message);
         ++datagrams;
--- a/request/testing/agent_test.cc
+++ b/request/testing/agent_test.cc
@@ -78,7 +78,7 @@
   ScriptPeer entry("entry");
   entry.Connect(fixture.Port(), kEntry);
   const Submit submit = SubmitOf(1);
-  entry.Send(Cancel{submit.id, submit.deadline_us});
+  entry.Send(CancelAttempt{submit.id, submit.deadline_us});
   entry.Wait<Refused>(1);
   entry.Send(submit);
   EXPECT_EQ(entry.Wait<Refused>(2)[1].reason, Refusal::kTombstone);
--- a/request/testing/entry_test.cc
+++ b/request/testing/entry_test.cc
@@ -76,7 +76,7 @@
 // started, and against "not-run" where it does not.
 TEST(EntryTest, RefusalAfterTheDeadlineMakesNotRunCertain) {
   ScriptPeer agent("a", [](Link* link, const Message& message) {
-    if (const Cancel* cancel = std::get_if<Cancel>(&message))
+    if (const CancelAttempt* cancel = std::get_if<CancelAttempt>(&message))
       link->Send(Refused{cancel->id, Refusal::kTombstone, {}});
   });
   EntryOptions options;
@@ -222,7 +222,7 @@
   ScriptPeer& slow = first.attempt == 2 ? b : a;
   hedge.Send(AnswerTo(first.attempt == 2 ? first : second, "hedge"));
   EXPECT_EQ(call.get().body, "hedge");
-  EXPECT_EQ(slow.Wait<Cancel>(1)[0].id.attempt, 1u);
+  EXPECT_EQ(slow.Wait<CancelAttempt>(1)[0].id.attempt, 1u);
 }
 
 // Guards against a hedge of a non-idempotent request (P6).
