--- a/bench/members_bench.cc
+++ b/bench/members_bench.cc
@@ -11,32 +11,24 @@
 // baseline that docs/membership.md weighs.
 
 #include <sys/resource.h>
-#include <time.h>
 
 #include <algorithm>
 #include <array>
 #include <chrono>
 #include <cstdint>
 #include <cstdio>
-#include <functional>
 #include <map>
-#include <memory>
 #include <string>
 #include <thread>
-#include <utility>
 #include <vector>
 
-#include "absl/synchronization/mutex.h"
 #include "base/strings.h"
 #include "bench/figure.h"
-#include "membership/agent_heartbeat.h"
-#include "membership/entry_gossip.h"
+#include "bench/members_fleet.h"
 
 namespace cuminjunction {
 namespace {
 
-constexpr int kEntriesPerRegion = 4;
-constexpr int kAgentThreads = 2;
 constexpr int kBaselineAgents = 200;
 constexpr int kTargetAgents = 800;
 constexpr std::array<int, 5> kSteps = {10, 50, 100, 200, 400};
@@ -45,277 +37,52 @@
 constexpr double kMemoryTarget = 64;
 constexpr double kLeaveTarget = 2;
 
-// Agents that leave, die and lose their upstream in the detection part.
-constexpr size_t kVictims = 5;
+// Two heartbeat intervals, which are two digest intervals too.
+constexpr int64_t kWindowMs = 5'000;
+
+// Polls for a settled fleet and for detection, and the rest after the former,
+// in which the changes of the start are told.
+constexpr int kMaxPolls = 40;
+constexpr int64_t kPollMs = 100;
+constexpr int64_t kRestMs = 2'600;
 
 // The most that the detection part waits; a death takes about 14 s.
 constexpr int64_t kDetectionWaitMs = 16'000;
 
-// Failure domains by region: 7 in 3 regions, as in the target size.
-const std::vector<std::pair<std::string, std::string>> kDomains = {
-    {"erie", "erie-a"},   {"erie", "erie-b"},   {"erie", "erie-c"},
-    {"huron", "huron-a"}, {"huron", "huron-b"}, {"huron", "huron-c"},
-    {"tahoe", "tahoe-a"},
-};
-
-double SecondsNow() {
-  return absl::ToDoubleSeconds(SteadyClock().Now() - absl::UnixEpoch());
-}
-
 void Sleep(int64_t milliseconds) {
   std::this_thread::sleep_for(std::chrono::milliseconds(milliseconds));
 }
 
-double ThreadSeconds(EventThread* thread) {
-  return thread->Call([] {
-    timespec used = {};
-    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
-    return static_cast<double>(used.tv_sec) +
-           static_cast<double>(used.tv_nsec) / 1e9;
-  });
-}
-
-double CountBytes(Metrics* metrics) {
-  const uint64_t sent =
-      metrics->GetCounter("membership_bytes_total", "direction=\"sent\"")
-          .Value();
-  const uint64_t received =
-      metrics->GetCounter("membership_bytes_total", "direction=\"received\"")
-          .Value();
-  return static_cast<double>(sent + received);
-}
-
-double CountOtherRegionBytes(Metrics* metrics) {
-  return static_cast<double>(
-      metrics
-          ->GetCounter("membership_other_region_bytes_total",
-                       "direction=\"sent\"")
-          .Value());
-}
-
-// When each entry first reported a member in a state.
-class Reports {
- public:
-  void Add(const std::vector<MemberChange>& changes) {
-    const double now = SecondsNow();
-    absl::MutexLock lock(&this->mutex);
-    for (const MemberChange& change : changes)
-      this->times[{change.member.name, change.member.state}].push_back(now);
-  }
-
-  // Seconds from `start` until `entries` of them had reported all the members
-  // in the state, or 0 if they have not.
-  double Delay(const std::vector<std::string>& members,
-               MemberState state,
-               size_t entries,
-               double start) {
-    absl::MutexLock lock(&this->mutex);
-    double last = start;
-    for (const std::string& member : members) {
-      const std::vector<double>& seen = this->times[{member, state}];
-      if (seen.size() < entries)
-        return 0;
-      last = std::max(last, seen[entries - 1]);
-    }
-    return last - start;
-  }
-
- private:
-  absl::Mutex mutex;
-  std::map<std::pair<std::string, MemberState>, std::vector<double>> times;
-};
-
-// What one node used between two readings.
-struct Usage {
-  double bytes = 0;
-  double other_region_bytes = 0;
-  double cpu_seconds = 0;
-};
-
-Usage operator-(const Usage& a, const Usage& b) {
-  return {a.bytes - b.bytes, a.other_region_bytes - b.other_region_bytes,
-          a.cpu_seconds - b.cpu_seconds};
-}
-
-// An entry with a thread of its own.
-struct EntryNode {
-  explicit EntryNode(const std::string& name) : thread(name) {}
-
-  Metrics metrics;
-  EventThread thread;
-  std::unique_ptr<EntryGossip> gossip;
-};
-
-struct AgentNode {
-  Metrics metrics;
-  EventThread* thread = nullptr;
-  std::unique_ptr<AgentHeartbeat> heartbeat;
-};
+// Figures of one step by metric.
+using Figures = std::map<std::string, double>;
 
-class BenchFleet {
+// Counts from its construction on.
+class Window {
  public:
-  BenchFleet(Topology topology, const Chart& chart) {
-    this->listener_thread.Start();
-    this->lone_thread.Start();
-    for (EventThread& thread : this->agent_threads)
-      thread.Start();
-    for (size_t i = 0; i < 3 * kEntriesPerRegion; ++i)
-      this->AddEntry(topology, chart, i);
-  }
-
-  ~BenchFleet() {
-    for (auto& agent : this->agents)
-      agent->thread->Call([&] { agent->heartbeat->Close(); });
-    for (auto& entry : this->entries) {
-      entry->thread.Call([&] { entry->gossip->Close(); });
-      entry->thread.Stop();
-    }
-    this->lone_thread.Stop();
-    for (EventThread& thread : this->agent_threads)
-      thread.Stop();
-    this->listener_thread.Stop();
-  }
-
-  // Adds agents until there are `count`. The first has a thread of its own.
-  void Grow(int count) {
-    while (static_cast<int>(this->agents.size()) < count)
-      this->AddAgent(this->agents.size());
-  }
+  Window(BenchFleet* fleet, int agents)
+      : fleet(fleet),
+        agents(agents),
+        entries_before(fleet->ReadEntries()),
+        agents_before(fleet->ReadAgents()),
+        start(SecondsNow()) {}
 
-  size_t EntryCount() const { return this->entries.size(); }
-
-  std::vector<Usage> ReadEntries() {
-    std::vector<Usage> out;
-    for (auto& entry : this->entries)
-      out.push_back({CountBytes(&entry->metrics),
-                     CountOtherRegionBytes(&entry->metrics),
-                     ThreadSeconds(&entry->thread)});
-    return out;
-  }
-
-  // All agents together; the processor time is that of the lone one.
-  Usage ReadAgents() {
-    Usage out;
-    for (auto& agent : this->agents)
-      out.bytes += CountBytes(&agent->metrics);
-    out.cpu_seconds = ThreadSeconds(&this->lone_thread);
-    return out;
-  }
-
-  // Whether every entry knows every member.
-  bool HasSettled() {
-    const size_t members = this->entries.size() + this->agents.size();
-    return std::all_of(
-        this->entries.begin(), this->entries.end(), [&](const auto& entry) {
-          return entry->thread.Call(
-              [&] { return entry->gossip->Members().size() == members; });
-        });
-  }
-
-  // Runs `action` on each of the agents [first, first + kVictims) and returns
-  // their names.
-  std::vector<std::string> ForVictims(
-      size_t first,
-      const std::function<void(AgentHeartbeat*)>& action) {
-    std::vector<std::string> names;
-    for (size_t i = first; i < first + kVictims; ++i) {
-      AgentNode* agent = this->agents[i].get();
-      names.push_back(StrCat("agent-", i));
-      agent->thread->Call([&] { action(agent->heartbeat.get()); });
-    }
-    return names;
-  }
-
-  Reports reports;
+  Figures Read() const;
 
  private:
-  Member MakeSelf(const std::string& name, Role role, size_t domain) {
-    Member self;
-    self.name = name;
-    self.role = role;
-    self.host = "127.0.0.1";
-    self.tcp_port = 8000;
-    self.region = kDomains[domain].first;
-    self.failure_domain = kDomains[domain].second;
-    if (role == Role::kAgent)
-      self.services = {"hamper-line-control"};
-    self.config_version = 100'000;
-    return self;
-  }
-
-  void AddEntry(Topology topology, const Chart& chart, size_t index) {
-    EntryOptions options;
-    // Four entries in each region, over its failure domains.
-    const std::array<size_t, 12> domains = {0, 1, 2, 0, 3, 4, 5, 3, 6, 6, 6, 6};
-    const std::string name = StrCat("entry-", index);
-    options.self = this->MakeSelf(name, Role::kEntry, domains.at(index));
-    options.view.topology = topology;
-    options.seeds = this->seeds;
-    EntryListener listener;
-    listener.thread = &this->listener_thread;
-    listener.on_changes = [this](const std::vector<MemberChange>& changes) {
-      this->reports.Add(changes);
-    };
-    auto node = std::make_unique<EntryNode>(name);
-    node->gossip = std::make_unique<EntryGossip>(
-        &node->thread, chart, options, std::vector<EntryListener>{listener},
-        &node->metrics);
-    node->thread.Start();
-    node->thread.Call([&] {
-      if (!node->gossip->Open())
-        std::fprintf(stderr, "%s can't open its socket\n", name.c_str());
-      const uint16_t port = node->gossip->Self().port;
-      // The first entry of each region.
-      if (index % kEntriesPerRegion == 0)
-        this->seeds.push_back({"127.0.0.1", port});
-    });
-    this->entries.push_back(std::move(node));
-  }
-
-  void AddAgent(size_t index) {
-    AgentOptions options;
-    options.self = this->MakeSelf(StrCat("agent-", index), Role::kAgent,
-                                  index % kDomains.size());
-    options.seeds = this->seeds;
-    auto node = std::make_unique<AgentNode>();
-    node->thread = index == 0 ? &this->lone_thread
-                              : &this->agent_threads.at(index % kAgentThreads);
-    AgentListener listener;
-    listener.thread = &this->listener_thread;
-    node->heartbeat = std::make_unique<AgentHeartbeat>(
-        node->thread, options, listener, &node->metrics);
-    node->thread->Call([&] {
-      if (!node->heartbeat->Open())
-        std::fprintf(stderr, "agent %zu can't open its socket\n", index);
-    });
-    this->agents.push_back(std::move(node));
-  }
-
-  EventThread listener_thread{"listener"};
-  EventThread lone_thread{"lone-agent"};
-  std::array<EventThread, kAgentThreads> agent_threads = {
-      EventThread("agents-0"), EventThread("agents-1")};
-  std::vector<UdpAddress> seeds;
-  std::vector<std::unique_ptr<EntryNode>> entries;
-  std::vector<std::unique_ptr<AgentNode>> agents;
+  BenchFleet* fleet;
+  int agents;
+  std::vector<Usage> entries_before;
+  Usage agents_before;
+  double start;
 };
 
-// Figures of one step, by metric.
-using Figures = std::map<std::string, double>;
-
-// Counts over two heartbeat intervals, which are two digest intervals too.
-Figures Measure(BenchFleet* fleet, int agents) {
-  constexpr int64_t kWindowMs = 5'000;
-  const std::vector<Usage> entries_before = fleet->ReadEntries();
-  const Usage agents_before = fleet->ReadAgents();
-  const double start = SecondsNow();
-  Sleep(kWindowMs);
-  const std::vector<Usage> entries_after = fleet->ReadEntries();
-  const Usage agent_use = fleet->ReadAgents() - agents_before;
-  const double seconds = SecondsNow() - start;
+Figures Window::Read() const {
+  const std::vector<Usage> entries_after = this->fleet->ReadEntries();
+  const Usage agent_use = this->fleet->ReadAgents() - this->agents_before;
+  const double seconds = SecondsNow() - this->start;
   Figures out;
   for (size_t i = 0; i < entries_after.size(); ++i) {
-    const Usage used = entries_after[i] - entries_before[i];
+    const Usage used = entries_after[i] - this->entries_before[i];
     const double share = 1 / (seconds * entries_after.size());
     out["entry_bytes_mean"] += used.bytes * share;
     out["entry_other_region_bytes_mean"] += used.other_region_bytes * share;
@@ -325,7 +92,7 @@
     out["entry_core_busiest"] =
         std::max(out["entry_core_busiest"], used.cpu_seconds / seconds * 100);
   }
-  out["agent_bytes"] = agent_use.bytes / seconds / agents;
+  out["agent_bytes"] = agent_use.bytes / seconds / this->agents;
   out["agent_core"] = agent_use.cpu_seconds / seconds * 100;
   return out;
 }
@@ -333,9 +100,6 @@
 // Waits until every entry knows every member, and until the changes of the
 // start are told.
 void Settle(BenchFleet* fleet) {
-  constexpr int kMaxPolls = 40;
-  constexpr int64_t kPollMs = 100;
-  constexpr int64_t kRestMs = 2'600;
   for (int i = 0; i < kMaxPolls && !fleet->HasSettled(); ++i)
     Sleep(kPollMs);
   if (!fleet->HasSettled())
@@ -416,7 +180,6 @@
   const auto delay = [&](const auto& members, MemberState state) {
     return fleet->reports.Delay(members, state, entries, start);
   };
-  constexpr int64_t kPollMs = 100;
   for (int64_t waited = 0; waited < kDetectionWaitMs; waited += kPollMs) {
     if (delay(dead, MemberState::kDead) > 0)
       break;
@@ -450,13 +213,17 @@
   BenchFleet baseline(Topology::kNeighbourhoods, chart.value());
   baseline.Grow(kBaselineAgents);
   std::map<int, Figures> steps;
+  Figures neighbourhoods;
   for (const int agents : kSteps) {
     fleet.Grow(agents);
     Settle(&fleet);
-    steps[agents] = Measure(&fleet, agents);
+    const Window window(&fleet, agents);
+    const Window baseline_window(&baseline, kBaselineAgents);
+    Sleep(kWindowMs);
+    steps[agents] = window.Read();
+    neighbourhoods = baseline_window.Read();
   }
   PrintSteps(steps, &printer);
-  const Figures neighbourhoods = Measure(&baseline, kBaselineAgents);
   for (const std::string metric : {"entry_bytes_mean", "entry_bytes_busiest",
                                    "entry_other_region_bytes_mean"})
     printer.Show(StrCat(metric, "_neighbourhoods_at_", kBaselineAgents),
