--- a/membership/testing/udp_test.cc
+++ b/membership/testing/udp_test.cc
@@ -43,6 +43,8 @@
     options.seeds = this->seeds;
     options.digest_interval_ms = 100;
     options.view.tick_interval_ms = 20;
+    // No test here relies on suspicion, so a slow machine causes none.
+    options.view.suspect_after_ms = 3'600'000;
     auto& entry = this->entries[name];
     entry = std::make_unique<EntryGossip>(&this->thread, MemberChart(), options,
                                           std::vector<EntryListener>{},
