--- a/request/testing/load_tools_test.cc
+++ b/request/testing/load_tools_test.cc
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "testing/support/http_reply.h"
+#include "testing/support/call_reply.h"
 #include "testing/support/load_generator.h"
 #include "testing/support/upstream_standin.h"
 
@@ -68,17 +68,17 @@
 
 // Guards against replies that are cut at any byte, and against an outcome that
 // is not read.
-TEST(HttpReplyTest, ReadsRepliesByteByByte) {
+TEST(CallReplyTest, ReadsRepliesByteByByte) {
   const std::string text =
       "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 3\r\n"
       "Cuminjunction-Outcome: not-run\r\nConnection: close\r\n\r\nabc";
-  HttpReplyReader reader;
+  CallReplyReader reader;
   for (const char byte : text.substr(0, text.size() - 1)) {
     reader.Append(std::string(1, byte));
     EXPECT_FALSE(reader.Next());
   }
   reader.Append("cHTTP");
-  const std::optional<HttpReply> reply = reader.Next();
+  const std::optional<CallReply> reply = reader.Next();
   ASSERT_TRUE(reply);
   EXPECT_EQ(reply->status, 503);
   EXPECT_EQ(reply->outcome, "not-run");
@@ -89,11 +89,11 @@
 }
 
 // Guards against damaged replies that count as answers.
-TEST(HttpReplyTest, DamagedRepliesAreBroken) {
+TEST(CallReplyTest, DamagedRepliesAreBroken) {
   for (const char* text :
        {"HTTP/1.1 2x0 OK\r\nContent-Length: 0\r\n\r\n", "nonsense\r\n\r\n",
         "HTTP/1.1 200 OK\r\nContent-Length: 1x\r\n\r\n"}) {
-    HttpReplyReader reader;
+    CallReplyReader reader;
     reader.Append(text);
     EXPECT_FALSE(reader.Next()) << text;
     EXPECT_TRUE(reader.IsBroken()) << text;
--- a/testing/load_generator_main.cc
+++ b/testing/load_generator_main.cc
@@ -29,7 +29,7 @@
       "HOST:PORT of an entry or upstream; repeatable")(
       "flow", options::value(&arguments->flows)->required(),
       "service=S,account=A,urgency=U,rate=PER_SECOND,timeout_ms=T,method=M,"
-      "send_key=0; repeatable")(
+      "send_key=0,resends=0; repeatable")(
       "threads", options::value(&settings.threads)->default_value(2), "")(
       "connections", options::value(&settings.connections)->default_value(128),
       "connections of each thread")(
--- a/testing/support/http_reply.cc
+++ b/testing/support/call_reply.cc
@@ -1,4 +1,4 @@
-#include "testing/support/http_reply.h"
+#include "testing/support/call_reply.h"
 
 #include <strings.h>
 
@@ -34,7 +34,7 @@
 
 // Reads the head up to its empty line. Returns the length of the body, or
 // nullopt when the head is damaged or gives none.
-std::optional<size_t> ParseHead(std::string_view head, HttpReply* reply) {
+std::optional<size_t> ParseHead(std::string_view head, CallReply* reply) {
   if (!head.starts_with("HTTP/1.1 ") || head.size() < 12)
     return std::nullopt;
   const std::optional<size_t> status = ToNumber(head.substr(9, 3));
@@ -63,13 +63,13 @@
 
 }  // namespace
 
-std::optional<HttpReply> HttpReplyReader::Next() {
+std::optional<CallReply> CallReplyReader::Next() {
   const size_t end = this->buffer.find(kHeadEnd);
   if (end == std::string::npos) {
     this->broken = this->buffer.size() > kLongestHead;
     return std::nullopt;
   }
-  HttpReply reply;
+  CallReply reply;
   const std::optional<size_t> length =
       ParseHead(std::string_view(this->buffer).substr(0, end), &reply);
   if (!length) {
--- a/testing/support/http_reply.h
+++ b/testing/support/call_reply.h
@@ -1,11 +1,11 @@
-#ifndef TESTING_SUPPORT_HTTP_REPLY_H_
-#define TESTING_SUPPORT_HTTP_REPLY_H_
+#ifndef TESTING_SUPPORT_CALL_REPLY_H_
+#define TESTING_SUPPORT_CALL_REPLY_H_
 
 // Reading of HTTP replies by the load generator.
 //
-//   HttpReplyReader reader;
+//   CallReplyReader reader;
 //   reader.Append(received);
-//   if (std::optional<HttpReply> reply = reader.Next()) ...
+//   if (std::optional<CallReply> reply = reader.Next()) ...
 //
 // The load generator needs several times the throughput of a general client and
 // meets only replies with a Content-Length, so it reads just these.
@@ -16,7 +16,7 @@
 
 namespace cuminjunction {
 
-struct HttpReply {
+struct CallReply {
   int status = 0;
   // Value of Cuminjunction-Outcome; empty without one.
   std::string outcome;
@@ -24,13 +24,13 @@
   bool closes = false;
 };
 
-class HttpReplyReader {
+class CallReplyReader {
  public:
   void Append(std::string_view bytes) { this->buffer.append(bytes); }
 
   // The next whole reply, or nullopt when more bytes are needed or the bytes
   // are no reply (then IsBroken()).
-  std::optional<HttpReply> Next();
+  std::optional<CallReply> Next();
 
   bool IsBroken() const { return this->broken; }
 
@@ -46,4 +46,4 @@
 
 }  // namespace cuminjunction
 
-#endif  // TESTING_SUPPORT_HTTP_REPLY_H_
+#endif  // TESTING_SUPPORT_CALL_REPLY_H_
--- a/testing/support/load_generator.cc
+++ b/testing/support/load_generator.cc
@@ -49,6 +49,8 @@
     flow->method = value;
   else if (key == "send_key")
     flow->send_key = value == "1";
+  else if (key == "resends")
+    return ReadNumber(value, &flow->resends);
   else if (key == "rate")
     return ReadNumber(value, &flow->per_second) && flow->per_second > 0;
   else if (key == "timeout_ms")
--- a/testing/support/load_generator.h
+++ b/testing/support/load_generator.h
@@ -30,13 +30,16 @@
 
 struct LoadFlow {
   std::string service = "s";
-  std::string account = "a";
+  std::string account = "growers";
   std::string urgency = "normal";
   std::string method = "GET";
   double per_second = 100;
   int64_t timeout_ms = 1000;
   // Sends an Idempotency-Key.
   bool send_key = false;
+  // Times that a call whose connection broke is sent to another target, as a
+  // caller behind a load balancer does with an idempotent request.
+  int resends = 0;
 };
 
 struct LoadSettings {
--- a/testing/support/load_thread.cc
+++ b/testing/support/load_thread.cc
@@ -82,7 +82,7 @@
     Source& source = this->sources[flow];
     while (source.next <= now && source.next < this->stop &&
            this->calls < this->most_calls) {
-      this->Assign({flow, ++this->calls, source.next});
+      this->Assign({flow, ++this->calls, source.next, 0});
       source.next += duration_cast<Time::duration>(
           std::chrono::duration<double>(source.gap_s(this->random)));
     }
@@ -179,7 +179,7 @@
 void LoadThread::Receive(Connection* connection, size_t size) {
   connection->reader.Append({connection->in.data(), size});
   const uint64_t epoch = connection->epoch;
-  while (const std::optional<HttpReply> reply = connection->reader.Next()) {
+  while (const std::optional<CallReply> reply = connection->reader.Next()) {
     if (!connection->busy)
       return this->Reset(connection);
     const CallEnd end = this->Judge(connection->call, *reply);
@@ -207,10 +207,37 @@
   this->Reset(connection);
   if (!connection->busy)
     return;
-  this->Record(connection->call, end);
+  if (!this->Resend(*connection, end))
+    this->Record(connection->call, end);
   this->Free(connection);
 }
 
+// Moves the call to an idle connection to another target. False when the call
+// has ended, or when there is none.
+bool LoadThread::Resend(const Connection& connection, CallEnd end) {
+  Call call = connection.call;
+  if (end != CallEnd::kBroken ||
+      call.resent >= this->settings.flows[call.flow].resends ||
+      this->Limit(call) < std::chrono::steady_clock::now())
+    return false;
+  const auto other = std::find_if(this->idle.begin(), this->idle.end(),
+                                  [&connection](Connection* idle) {
+                                    return idle->target != connection.target;
+                                  });
+  if (other == this->idle.end())
+    return false;
+  Connection* next = *other;
+  this->idle.erase(other);
+  call.resent += 1;
+  this->open += 1;
+  next->busy = true;
+  boost::asio::post(this->context, [this, next, call] {
+    this->open -= 1;
+    this->Begin(next, call);
+  });
+  return true;
+}
+
 void LoadThread::Free(Connection* connection) {
   connection->busy = false;
   this->open -= 1;
@@ -229,7 +256,7 @@
   });
 }
 
-CallEnd LoadThread::Judge(const Call& call, const HttpReply& reply) const {
+CallEnd LoadThread::Judge(const Call& call, const CallReply& reply) const {
   if (reply.outcome == "not-run")
     return CallEnd::kNotRun;
   if (reply.outcome == "unknown")
--- a/testing/support/load_thread.h
+++ b/testing/support/load_thread.h
@@ -15,7 +15,7 @@
 #include <string>
 #include <vector>
 
-#include "testing/support/http_reply.h"
+#include "testing/support/call_reply.h"
 #include "testing/support/load_generator.h"
 
 namespace cuminjunction {
@@ -36,6 +36,7 @@
     size_t flow = 0;
     uint64_t number = 0;
     Time due;
+    int resent = 0;
   };
 
   struct Connection {
@@ -50,7 +51,7 @@
     Call call;
     std::string out;
     std::array<char, 16384> in;
-    HttpReplyReader reader;
+    CallReplyReader reader;
   };
 
   struct Source {
@@ -69,12 +70,13 @@
   void Reset(Connection* connection);
   void End(Connection* connection, CallEnd end);
   void Free(Connection* connection);
+  bool Resend(const Connection& connection, CallEnd end);
   void Record(const Call& call, CallEnd end);
   void Sweep();
   bool IsOver() const;
   std::string KeyOf(const Call& call) const;
   std::string Format(const Call& call) const;
-  CallEnd Judge(const Call& call, const HttpReply& reply) const;
+  CallEnd Judge(const Call& call, const CallReply& reply) const;
   Time Limit(const Call& call) const;
 
   const LoadSettings& settings;
--- a/testing/support/upstream_standin.cc
+++ b/testing/support/upstream_standin.cc
@@ -1,7 +1,9 @@
 #include "testing/support/upstream_standin.h"
 
+#include <fcntl.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <chrono>
@@ -75,7 +77,18 @@
 class UpstreamStandin::Server {
  public:
   explicit Server(UpstreamStandinSettings settings)
-      : settings(settings), random(settings.seed) {}
+      : settings(std::move(settings)), random(this->settings.seed) {
+    if (!this->settings.executions_file.empty())
+      this->file = ::open(this->settings.executions_file.c_str(),
+                          O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+  }
+
+  ~Server() {
+    if (this->file >= 0)
+      ::close(this->file);
+  }
+  Server(const Server&) = delete;
+  Server& operator=(const Server&) = delete;
 
   Result<uint16_t> Start() {
     sockaddr_in address = {};
@@ -180,6 +193,8 @@
       this->Reset();
       return Reply(connection, MHD_HTTP_OK, "{}");
     }
+    if (url == "/standin/health")
+      return Reply(connection, MHD_HTTP_OK, "{}");
     if (!is_post && url == "/standin/executions") {
       nlohmann::json list;
       list["total"] = this->Total();
@@ -221,6 +236,16 @@
 
   void Count(const Work& work) {
     this->total += 1;
+    if (this->file >= 0) {
+      const auto now = std::chrono::system_clock::now().time_since_epoch();
+      const std::string line =
+          work.key + " " +
+          std::to_string(
+              std::chrono::duration_cast<std::chrono::microseconds>(now)
+                  .count()) +
+          "\n";
+      static_cast<void>(!::write(this->file, line.data(), line.size()));
+    }
     if (!work.key.empty() && (this->executions.size() < kMostKeys ||
                               this->executions.contains(work.key)))
       this->executions[work.key] += 1;
@@ -270,6 +295,7 @@
 
   const UpstreamStandinSettings settings;
   MHD_Daemon* daemon = nullptr;
+  int file = -1;
   std::thread timer;
   mutable std::mutex mutex;
   std::condition_variable changed;
@@ -284,7 +310,7 @@
 };
 
 UpstreamStandin::UpstreamStandin(UpstreamStandinSettings settings)
-    : server(std::make_unique<Server>(settings)) {}
+    : server(std::make_unique<Server>(std::move(settings))) {}
 
 UpstreamStandin::~UpstreamStandin() {
   this->Stop();
--- a/testing/support/upstream_standin.h
+++ b/testing/support/upstream_standin.h
@@ -17,6 +17,7 @@
 //   POST /standin/slowness?factor=10   multiplies later service times
 //   POST /standin/reset                forgets the executions
 //   GET  /standin/executions           {"total": 3, "keys": {"a": 1, "b": 2}}
+//   GET  /standin/health               200
 
 #include <cstdint>
 #include <map>
@@ -38,6 +39,9 @@
   // Bytes of padding in an answer.
   size_t answer_bytes = 64;
   uint64_t seed = 1;
+  // Each execution is appended here as "KEY MICROSECONDS" at its start, so that
+  // it is known after a kill. Empty for none.
+  std::string executions_file = {};
 };
 
 enum class StandinError { kCannotListen = 1 };
--- a/testing/upstream_standin_main.cc
+++ b/testing/upstream_standin_main.cc
@@ -16,21 +16,20 @@
 options::options_description Describe(
     cuminjunction::UpstreamStandinSettings* settings) {
   options::options_description description("Options of upstream_standin");
-  description.add_options()("help", "show this text")(
-      "port", options::value(&settings->port)->default_value(0),
-      "port on 127.0.0.1; 0 lets the kernel choose")(
-      "slots", options::value(&settings->slots)->default_value(8),
-      "requests served at a time")(
-      "service-us", options::value(&settings->service_us)->default_value(5000),
-      "mean service time in microseconds; 0 answers at once")(
-      "exponential-share",
-      options::value(&settings->exponential_share)->default_value(0.5),
-      "part of the service time that is exponential")(
-      "answer-bytes",
-      options::value(&settings->answer_bytes)->default_value(64),
-      "padding of an answer")("seed",
-                              options::value(&settings->seed)->default_value(1),
-                              "seed of the service times");
+  auto add = description.add_options();
+  add("help", "show this text");
+  add("port", options::value(&settings->port),
+      "port on 127.0.0.1; 0 lets the kernel choose");
+  add("slots", options::value(&settings->slots), "requests served at a time");
+  add("service-us", options::value(&settings->service_us),
+      "mean service time in microseconds; 0 answers at once");
+  add("exponential-share", options::value(&settings->exponential_share),
+      "part of the service time that is exponential");
+  add("answer-bytes", options::value(&settings->answer_bytes),
+      "padding of an answer");
+  add("executions-file", options::value(&settings->executions_file),
+      "file that each execution is appended to");
+  add("seed", options::value(&settings->seed), "seed of the service times");
   return description;
 }
 
