--- a/bench/drain_bench.cc
+++ b/bench/drain_bench.cc
@@ -9,7 +9,7 @@
 #include "absl/time/clock.h"
 #include "absl/time/time.h"
 #include "bench/figure.h"
-#include "bench/fleet.h"
+#include "bench/path_fleet.h"
 #include "bench/sim_setup.h"
 
 namespace cuminjunction {
@@ -20,7 +20,7 @@
 
 int RunBench(uint64_t seed) {
   FigurePrinter printer("drain");
-  Fleet fleet({.upstreams = 3, .entries = 2, .service_us = kServiceUs});
+  PathFleet fleet({.upstreams = 3, .entries = 2, .service_us = kServiceUs});
   if (!fleet.Start())
     return 1;
   LoadSettings load;
--- a/bench/fleet.cc
+++ b/bench/fleet.cc
@@ -1,193 +1,277 @@
 #include "bench/fleet.h"
 
-#include <csignal>
-#include <cstdlib>
-#include <filesystem>
-#include <fstream>
+#include <algorithm>
+#include <ctime>
 
-#include "absl/time/clock.h"
 #include "base/strings.h"
 
 namespace cuminjunction {
 
 namespace {
 
-// All in one region: the link between regions is the subject of other benches.
-constexpr const char* kDomains[] = {"erie-a", "erie-b"};
+constexpr double kStoreRowsPerSecond = 300;
+constexpr double kRenewEverySeconds = 20;
+constexpr double kBatchSeconds = 290;
+constexpr double kUrgentSeconds = 60;
+// From the nudge of an agent until the task has started, and a checkpoint.
+constexpr absl::Duration kStartDelay = absl::Milliseconds(200);
+constexpr absl::Duration kCheckpointTime = absl::Seconds(1);
+constexpr size_t kRowsPerFill = 500;
 
-std::string DomainOf(size_t i) {
-  return kDomains[i % std::size(kDomains)];
+}  // namespace
+
+double ThreadSeconds() {
+  timespec time = {};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  return static_cast<double>(time.tv_sec) +
+         static_cast<double>(time.tv_nsec) * 1e-9;
 }
 
-}  // namespace
+Result<Row> PacedTable::Read(const std::string& key) {
+  const double begin = ThreadSeconds();
+  Result<Row> row = this->table->Read(key);
+  this->store_seconds += ThreadSeconds() - begin;
+  return row;
+}
 
-Fleet::Fleet(FleetSettings settings) : settings(settings) {
-  // A process that ended must not end the bench when it is written to.
-  std::signal(SIGPIPE, SIG_IGN);
-  std::string name =
-      (std::filesystem::temp_directory_path() / "fleet-XXXXXX").string();
-  if (mkdtemp(name.data()) != nullptr)
-    this->folder = name;
-}
-
-Fleet::~Fleet() {
-  this->Stop();
-  std::error_code ignored;
-  if (!this->folder.empty())
-    std::filesystem::remove_all(this->folder, ignored);
-}
-
-void Fleet::Kill(Member* member) {
-  member->process.Signal(SIGKILL);
-  member->process.Wait();
-}
-
-// Starts the process on the port that it had before.
-bool Fleet::Launch(Member* member, std::vector<std::string> argv) {
-  member->incarnation += 1;
-  argv.push_back("--port");
-  argv.push_back(StrCat(member->port));
-  if (!member->process.Start(argv))
-    return false;
-  member->port = static_cast<uint16_t>(member->process.ReadPort());
-  return member->port != 0;
-}
-
-std::string Fleet::ExecutionsFile(size_t upstream) const {
-  return StrCat(this->folder, "/executions-", upstream);
-}
-
-bool Fleet::StartUpstream(size_t i) {
-  return Launch(this->upstreams[i].get(),
-                {StrCat(ProgramFolder(), "/upstream_standin"), "--slots",
-                 StrCat(this->settings.slots), "--service-us",
-                 StrCat(this->settings.service_us), "--executions-file",
-                 this->settings.service_us > 0 ? this->ExecutionsFile(i) : ""});
-}
-
-bool Fleet::StartAgent(size_t i) {
-  return Launch(
-      this->agents[i].get(),
-      {StrCat(ProgramFolder(), "/request_path"), "--role", "agent", "--name",
-       StrCat("runner-", i), "--slots", StrCat(this->settings.slots),
-       "--upstream-port", StrCat(this->upstreams[i]->port), "--incarnation",
-       StrCat(this->agents[i]->incarnation + 1)});
-}
-
-bool Fleet::StartEntry(size_t i) {
-  Member* entry = this->entries[i].get();
-  std::vector<std::string> argv = {StrCat(ProgramFolder(), "/request_path"),
-                                   "--role",
-                                   "entry",
-                                   "--name",
-                                   StrCat("entry-", i),
-                                   "--failure-domain",
-                                   DomainOf(i),
-                                   "--shards",
-                                   StrCat(this->settings.shards),
-                                   "--incarnation",
-                                   StrCat(entry->incarnation + 1)};
-  if (this->settings.log_decisions) {
-    argv.push_back("--log");
-    argv.push_back(StrCat(this->folder, "/entry-", i, ".log"));
-  }
-  if (!Launch(entry, argv))
-    return false;
-  this->SendMembers(*entry);
-  return true;
+Result<std::vector<Row>> PacedTable::ScanSince(const std::string& prefix,
+                                               uint64_t version,
+                                               int limit) {
+  const double begin = ThreadSeconds();
+  Result<std::vector<Row>> page =
+      this->table->ScanSince(prefix, version, limit);
+  this->store_seconds += ThreadSeconds() - begin;
+  return page;
 }
 
-void Fleet::SendMembers(const Member& entry) const {
-  std::string text;
-  for (size_t i = 0; i < this->agents.size(); ++i) {
-    StrAppend(&text, "runner-", i, " ", this->agents[i]->port, " ", DomainOf(i),
-              " ", this->agents[i]->incarnation, "\n");
-  }
-  entry.process.Write(text + "apply\n");
+Result<uint64_t> PacedTable::Commit(const Transaction& transaction) {
+  const double begin = ThreadSeconds();
+  Result<uint64_t> version = this->table->Commit(transaction);
+  const auto written = static_cast<double>(transaction.writes.size());
+  this->done_at = std::max(this->done_at, this->clock->Now()) +
+                  absl::Seconds(written / kStoreRowsPerSecond);
+  this->rows_written += static_cast<int64_t>(transaction.writes.size());
+  this->store_seconds += ThreadSeconds() - begin;
+  return version;
 }
 
-bool Fleet::RestartAgent(int i) {
-  if (!this->StartAgent(At(i)))
-    return false;
-  for (const auto& entry : this->entries) {
-    if (entry->process.IsRunning())
-      this->SendMembers(*entry);
-  }
-  return true;
+Fleet::Fleet(const FleetOptions& options,
+             const TaskCharts* charts,
+             MemoryTable* rows,
+             PacedTable* table,
+             const ManualClock* clock)
+    : options(options),
+      charts(charts),
+      rows(rows),
+      table(table),
+      clock(clock),
+      random(options.seed) {}
+
+Batch Fleet::NewBatch() {
+  return {this->charts, StrCat("fleet/", ++this->transactions)};
 }
 
-bool Fleet::Start() {
-  for (size_t i = 0; i < At(this->settings.upstreams); ++i) {
-    this->upstreams.push_back(std::make_unique<Member>());
-    this->agents.push_back(std::make_unique<Member>());
-    if (!this->StartUpstream(i) || !this->StartAgent(i))
-      return false;
-  }
-  for (size_t i = 0; i < At(this->settings.entries); ++i) {
-    this->entries.push_back(std::make_unique<Member>());
-    if (!this->StartEntry(i))
-      return false;
+bool Fleet::Commit(const Batch& batch) {
+  return static_cast<bool>(this->table->Commit(batch.ToTransaction()));
+}
+
+TaskRow Fleet::MakeTask(Urgency urgency) {
+  TaskRow task;
+  task.id = StrCat("job", this->next_task % 997, ".1.", this->next_task);
+  task.owner = StrCat("job", this->next_task % 997);
+  ++this->next_task;
+  task.account = StrCat("team", this->random() % this->options.accounts);
+  task.urgency = urgency;
+  task.kind = TaskKind::kBatch;
+  task.size.millicores = 500 + static_cast<int64_t>(this->random() % 9) * 250;
+  task.size.memory_mib = 1024 + static_cast<int64_t>(this->random() % 8) * 512;
+  if (urgency == Urgency::kBatch && this->random() % 10 == 0)
+    task.size.accelerators = 1;
+  task.command = "run --input objects/0123456789abcdef";
+  task.created_us = ToMicros(this->clock->Now());
+  task.state = TaskState::kPending;
+  return task;
+}
+
+void Fleet::Fill() {
+  this->FillWorkers();
+  this->FillTasks(this->options.services, TaskKind::kReplica, Urgency::kUrgent);
+  this->FillTasks(this->options.batch, TaskKind::kBatch, Urgency::kBatch);
+  Transaction transaction;
+  for (const WorkerRow& worker : this->initial)
+    transaction.writes.push_back({WorkerKey(worker.id), ToText(worker)});
+  this->rows->Commit(transaction).value();
+  this->cursor = this->rows->Commit({"mark", {}, {{"mark", "1"}}}).value();
+}
+
+void Fleet::FillWorkers() {
+  for (int i = 0; i < this->options.workers; ++i) {
+    WorkerRow worker;
+    worker.id = StrCat("w", i);
+    const bool large = i % 2 == 0;
+    worker.capacity = large ? Size{52000, 256000, 0} : Size{16000, 61440, 0};
+    // A quarter of the workers has accelerators.
+    if (i % 4 == 0) {
+      worker.capacity.accelerators =
+          this->options.accelerators / (this->options.workers / 4);
+    }
+    worker.rack = StrCat("rack", i / 3);
+    worker.failure_domain = StrCat("domain", i % 7);
+    worker.region = StrCat("region", i % 7 % 3);
+    worker.boot_id = StrCat("boot", i);
+    worker.epoch = 1;
+    worker.sequence = 1;
+    this->initial.push_back(worker);
   }
-  return this->AwaitReady();
-}
-
-// Sends a little load until all of it is answered.
-bool Fleet::AwaitReady() const {
-  LoadSettings load;
-  load.targets = this->EntryTargets();
-  load.flows = {LoadFlow()};
-  load.threads = 1;
-  load.duration_ms = 200;
-  load.connections = 8 * this->settings.entries;
-  load.key_prefix = "ready";
-  for (int i = 0; i < 20; ++i) {
-    const LoadResult result = RunLoad(load);
-    if (result.flows[0].Count(CallEnd::kAnswered) == result.flows[0].sent)
-      return true;
-    absl::SleepFor(absl::Milliseconds(100));
+}
+
+void Fleet::FillTasks(int count, TaskKind kind, Urgency urgency) {
+  std::exponential_distribution<double> seconds(1 / kBatchSeconds);
+  for (int i = 0; i < count; ++i) {
+    TaskRow task = this->MakeTask(urgency);
+    task.kind = kind;
+    WorkerRow* worker = nullptr;
+    for (int tries = 0; tries < 200 && worker == nullptr; ++tries) {
+      WorkerRow& one = this->initial[this->random() % this->initial.size()];
+      if (Fits(task.size, one.Free()))
+        worker = &one;
+    }
+    if (worker == nullptr)
+      continue;
+    task.state = TaskState::kStarting;
+    task.attempt = 1;
+    task.worker = worker->id;
+    task.placed_us = task.created_us;
+    worker->assignments.push_back({task.id, 1, task.size, 1});
+    this->started[task.id] = 1;
+    if (kind == TaskKind::kBatch) {
+      const absl::Duration left = absl::Seconds(seconds(this->random));
+      this->events.push({this->clock->Now() + left, task.id, 1});
+    }
+    // One commit a task, as when the tasks were placed.
+    this->rows->Commit({"fill", {}, {{TaskKey(task.id), ToText(task)}}})
+        .value();
   }
-  return false;
 }
 
-void Fleet::Stop() {
-  for (auto* members : {&this->entries, &this->agents, &this->upstreams}) {
-    for (const auto& member : *members)
-      Kill(member.get());
+void Fleet::Flood(int tasks) {
+  Transaction transaction;
+  for (int i = 0; i < tasks; ++i) {
+    const TaskRow task = this->MakeTask(Urgency::kBatch);
+    transaction.writes.push_back({TaskKey(task.id), ToText(task)});
+    if (transaction.writes.size() == kRowsPerFill || i + 1 == tasks) {
+      this->rows->Commit(transaction).value();
+      transaction.writes.clear();
+    }
   }
 }
 
-std::vector<LoadTarget> Fleet::EntryTargets() const {
-  std::vector<LoadTarget> targets;
-  for (const auto& entry : this->entries)
-    targets.push_back({"127.0.0.1", entry->port});
-  return targets;
+void Fleet::Step(absl::Duration step) {
+  this->Renew(step);
+  this->TakeAssignments();
+  this->EndDue();
+  this->Arrive(step);
+}
+
+void Fleet::ForgetStarts() {
+  this->urgent_starts.clear();
+  this->starts = 0;
+  this->evictions = 0;
+}
+
+void Fleet::Arrive(absl::Duration step) {
+  const double seconds = absl::ToDoubleSeconds(step);
+  this->urgent_arrivals += seconds * this->options.urgent_per_second;
+  this->arrivals += seconds * (this->options.starts_per_second -
+                               this->options.urgent_per_second);
+  Batch batch = this->NewBatch();
+  for (; this->urgent_arrivals >= 1; --this->urgent_arrivals)
+    (void)CreateTask(this->MakeTask(Urgency::kUrgent), &batch);
+  for (; this->arrivals >= 1; --this->arrivals)
+    (void)CreateTask(this->MakeTask(Urgency::kBatch), &batch);
+  if (batch.size() > 0)
+    this->Commit(batch);
+}
+
+void Fleet::Renew(absl::Duration step) {
+  this->renewals += absl::ToDoubleSeconds(step) *
+                    static_cast<double>(this->initial.size()) /
+                    kRenewEverySeconds;
+  for (; this->renewals >= 1; --this->renewals) {
+    const std::string& id = this->initial[this->next_renewal].id;
+    this->next_renewal = (this->next_renewal + 1) % this->initial.size();
+    const Row row = this->table->Read(WorkerKey(id)).value();
+    const WorkerEntry worker = {ParseWorker(row).value(), row.version};
+    Batch batch = this->NewBatch();
+    if (cuminjunction::Renew(worker, worker.row.epoch, this->clock->Now(),
+                             &batch))
+      this->Commit(batch);
+  }
 }
 
-std::vector<LoadTarget> Fleet::UpstreamTargets() const {
-  std::vector<LoadTarget> targets;
-  for (const auto& upstream : this->upstreams)
-    targets.push_back({"127.0.0.1", upstream->port});
-  return targets;
+void Fleet::TakeAssignments() {
+  const std::vector<Row> changed =
+      this->rows->ScanSince(std::string(kTaskPrefix), this->cursor, 100000)
+          .value();
+  for (const Row& row : changed) {
+    this->cursor = std::max(this->cursor, row.version);
+    if (!row.deleted)
+      this->TakeTask(ParseTask(row).value());
+  }
 }
 
-void Fleet::PinEntry(int i, void (*pin)(pid_t thread)) const {
-  const std::string tasks =
-      StrCat("/proc/", this->entries[At(i)]->process.Pid(), "/task");
-  std::error_code ignored;
-  for (const auto& task : std::filesystem::directory_iterator(tasks, ignored))
-    pin(std::atoi(task.path().filename().c_str()));
+void Fleet::TakeTask(const TaskRow& task) {
+  if (task.state == TaskState::kCheckpointing) {
+    ++this->evictions;
+    this->events.push(
+        {this->clock->Now() + kCheckpointTime, task.id, task.attempt, true});
+    return;
+  }
+  uint32_t& attempt = this->started[task.id];
+  if (!task.IsPlaced() || attempt == task.attempt)
+    return;
+  attempt = task.attempt;
+  ++this->starts;
+  const absl::Time start =
+      std::max(this->clock->Now(), this->table->DoneAt()) + kStartDelay;
+  const bool urgent = task.urgency == Urgency::kUrgent;
+  if (urgent) {
+    this->urgent_starts.push_back(
+        absl::ToDoubleSeconds(start - FromMicros(task.created_us)));
+  }
+  std::exponential_distribution<double> seconds(
+      1 / (urgent ? kUrgentSeconds : kBatchSeconds));
+  this->events.push(
+      {start + absl::Seconds(seconds(this->random)), task.id, task.attempt});
 }
 
-std::vector<Execution> Fleet::Executions() const {
-  std::vector<Execution> executions;
-  for (size_t i = 0; i < this->upstreams.size(); ++i) {
-    std::ifstream file(this->ExecutionsFile(i));
-    Execution execution;
-    execution.upstream = static_cast<int>(i);
-    while (file >> execution.key >> execution.at_us)
-      executions.push_back(execution);
+void Fleet::EndDue() {
+  while (!this->events.empty() &&
+         this->events.top().time <= this->clock->Now()) {
+    const Event event = this->events.top();
+    this->events.pop();
+    this->End(event);
   }
-  return executions;
+}
+
+void Fleet::End(const Event& event) {
+  const Row task_row = this->table->Read(TaskKey(event.task)).value();
+  const TaskEntry task = {ParseTask(task_row).value(), task_row.version};
+  if (task.row.attempt != event.attempt || !task.row.HoldsCapacity())
+    return;
+  const Row worker_row = this->table->Read(WorkerKey(task.row.worker)).value();
+  const WorkerEntry worker = {ParseWorker(worker_row).value(),
+                              worker_row.version};
+  const AttemptRef ref = {event.attempt, worker.row.epoch};
+  Batch batch = this->NewBatch();
+  const Status reported =
+      event.checkpointed
+          ? ReportStopped(task, worker, ref, StrCat("checkpoint/", event.task),
+                          &batch)
+          : ReportFinished(task, worker, ref, "output", this->clock->Now(),
+                           RetryPolicy(), &batch);
+  if (reported)
+    this->Commit(batch);
 }
 
 }  // namespace cuminjunction
--- a/bench/fleet.h
+++ b/bench/fleet.h
@@ -1,106 +1,135 @@
 #ifndef BENCH_FLEET_H_
 #define BENCH_FLEET_H_
 
-// A small fleet of real processes on loopback: upstream stand-ins, an agent
-// beside each, and entries.
-//
-//   Fleet fleet({.upstreams = 3, .entries = 2});
-//   if (!fleet.Start()) ...
-//   LoadSettings load;
-//   load.targets = fleet.EntryTargets();
-//   ...
-//   fleet.KillAgent(1);
-//   fleet.RestartAgent(1);
-//   fleet.Stop();
-//   fleet.Executions();   // of all upstreams, over kills and restarts
-//
-// Without membership the fleet itself tells the entries about a new incarnation
-// of an agent.
-
-#include <csignal>
+// A fleet at the target size for bench_place: rows of workers and tasks, agents
+// that only write rows, and a store that takes 300 rows a second. All times are
+// virtual.
+
 #include <cstdint>
-#include <memory>
+#include <functional>
+#include <map>
+#include <queue>
+#include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
-#include "bench/process.h"
-#include "testing/support/load_generator.h"
+#include "base/time.h"
+#include "platform/memory_table.h"
+#include "task/transitions.h"
 
 namespace cuminjunction {
 
-struct FleetSettings {
-  int upstreams = 3;
-  int entries = 1;
-  int shards = 2;
-  int64_t service_us = 5000;
-  int slots = 8;
-  // Entries log each decision to a file in the folder of the fleet.
-  bool log_decisions = true;
+// Processor time of the calling thread in seconds.
+double ThreadSeconds();
+
+// A table in memory whose commits take the time that a store of a limited write
+// rate needs. It adds up the processor time spent within, which is the store's
+// and not the caller's.
+class PacedTable {
+ public:
+  PacedTable(MemoryTable* table, const ManualClock* clock)
+      : table(table), clock(clock) {}
+
+  Result<Row> Read(const std::string& key);
+  Result<std::vector<Row>> ScanSince(const std::string& prefix,
+                                     uint64_t version,
+                                     int limit);
+  Result<uint64_t> Commit(const Transaction& transaction);
+
+  // When everything committed until now is done.
+  absl::Time DoneAt() const { return this->done_at; }
+  double StoreSeconds() const { return this->store_seconds; }
+  int64_t RowsWritten() const { return this->rows_written; }
+
+ private:
+  MemoryTable* table;
+  const ManualClock* clock;
+  absl::Time done_at = absl::InfinitePast();
+  double store_seconds = 0;
+  int64_t rows_written = 0;
 };
 
-// One execution at an upstream.
-struct Execution {
-  std::string key;
-  int upstream = 0;
-  int64_t at_us = 0;
+struct FleetOptions {
+  int workers = 800;
+  int accelerators = 1900;
+  int accounts = 82;
+  int services = 6000;
+  int batch = 11000;
+  double starts_per_second = 44;
+  double urgent_per_second = 4;
+  uint64_t seed = 1;
 };
 
 class Fleet {
  public:
-  explicit Fleet(FleetSettings settings);
-  // Ends all processes and removes the folder.
-  ~Fleet();
-  Fleet(const Fleet&) = delete;
-  Fleet& operator=(const Fleet&) = delete;
-
-  // Starts all and waits until the entries answer. False when one can't start.
-  bool Start();
-  void Stop();
-
-  std::vector<LoadTarget> EntryTargets() const;
-  std::vector<LoadTarget> UpstreamTargets() const;
-
-  // Ends without notice (SIGKILL).
-  void KillUpstream(int i) { Kill(this->upstreams[At(i)].get()); }
-  void KillAgent(int i) { Kill(this->agents[At(i)].get()); }
-  void KillEntry(int i) { Kill(this->entries[At(i)].get()); }
-  // Asks to leave (SIGTERM); AwaitEnd() waits for it.
-  void LeaveAgent(int i) { this->agents[At(i)]->process.Signal(SIGTERM); }
-  void LeaveEntry(int i) { this->entries[At(i)]->process.Signal(SIGTERM); }
-  // False when the process had to be killed.
-  bool AwaitAgent(int i) { return this->agents[At(i)]->process.Wait(); }
-  bool AwaitEntry(int i) { return this->entries[At(i)]->process.Wait(); }
-  bool RestartUpstream(int i) { return this->StartUpstream(At(i)); }
-  bool RestartAgent(int i);
-  bool RestartEntry(int i) { return this->StartEntry(At(i)); }
-
-  // Calls `pin` with the id of each thread of an entry.
-  void PinEntry(int i, void (*pin)(pid_t thread)) const;
-
-  std::vector<Execution> Executions() const;
+  Fleet(const FleetOptions& options,
+        const TaskCharts* charts,
+        MemoryTable* rows,
+        PacedTable* table,
+        const ManualClock* clock);
+
+  // Writes the rows of the workers and of what runs, without taking time.
+  void Fill();
+
+  // Adds batch tasks that wait, without taking time.
+  void Flood(int tasks);
+
+  // Agents renew leases, start, end and checkpoint what is due, and new tasks
+  // arrive.
+  void Step(absl::Duration step);
+
+  // Seconds from an urgent task's creation until its worker started it.
+  const std::vector<double>& UrgentStarts() const {
+    return this->urgent_starts;
+  }
+  int64_t Starts() const { return this->starts; }
+  int64_t Evictions() const { return this->evictions; }
+  void ForgetStarts();
+
+  // A task that the planner's decision is timed on.
+  TaskRow MakeTask(Urgency urgency);
 
  private:
-  struct Member {
-    ChildProcess process;
-    uint16_t port = 0;
-    uint64_t incarnation = 0;
+  struct Event {
+    absl::Time time;
+    std::string task;
+    uint32_t attempt = 0;
+    bool checkpointed = false;
+
+    bool operator>(const Event& other) const { return this->time > other.time; }
   };
 
-  static size_t At(int i) { return static_cast<size_t>(i); }
-  static void Kill(Member* member);
-  static bool Launch(Member* member, std::vector<std::string> argv);
-  bool StartUpstream(size_t i);
-  bool StartAgent(size_t i);
-  bool StartEntry(size_t i);
-  void SendMembers(const Member& entry) const;
-  bool AwaitReady() const;
-  std::string ExecutionsFile(size_t upstream) const;
-
-  FleetSettings settings;
-  std::string folder;
-  std::vector<std::unique_ptr<Member>> upstreams;
-  std::vector<std::unique_ptr<Member>> agents;
-  std::vector<std::unique_ptr<Member>> entries;
+  void FillWorkers();
+  void FillTasks(int count, TaskKind kind, Urgency urgency);
+  void Arrive(absl::Duration step);
+  void Renew(absl::Duration step);
+  void TakeAssignments();
+  void TakeTask(const TaskRow& task);
+  void EndDue();
+  void End(const Event& event);
+  bool Commit(const Batch& batch);
+  Batch NewBatch();
+
+  FleetOptions options;
+  const TaskCharts* charts;
+  MemoryTable* rows;
+  PacedTable* table;
+  const ManualClock* clock;
+  std::mt19937_64 random;
+  std::vector<WorkerRow> initial;
+  std::map<std::string, uint32_t> started;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> events;
+  std::vector<double> urgent_starts;
+  uint64_t cursor = 0;
+  uint64_t next_task = 0;
+  uint64_t transactions = 0;
+  int64_t starts = 0;
+  int64_t evictions = 0;
+  double arrivals = 0;
+  double urgent_arrivals = 0;
+  double renewals = 0;
+  size_t next_renewal = 0;
 };
 
 }  // namespace cuminjunction
--- a/bench/kill_bench.cc
+++ b/bench/kill_bench.cc
@@ -10,7 +10,7 @@
 
 #include "absl/time/clock.h"
 #include "bench/figure.h"
-#include "bench/fleet.h"
+#include "bench/path_fleet.h"
 #include "bench/sim_setup.h"
 
 namespace cuminjunction {
@@ -19,7 +19,7 @@
 constexpr size_t kReads = 0;
 constexpr size_t kOrders = 1;
 
-LoadSettings MakeLoad(const Fleet& fleet, uint64_t seed, std::string prefix) {
+LoadSettings MakeLoad(const PathFleet& fleet, uint64_t seed, std::string prefix) {
   LoadSettings load;
   load.seed = seed;
   load.key_prefix = std::move(prefix);
@@ -41,7 +41,7 @@
   return result;
 }
 
-void StopAsPlanned(Fleet* fleet) {
+void StopAsPlanned(PathFleet* fleet) {
   fleet->LeaveAgent(0);
   fleet->AwaitAgent(0);
   fleet->RestartAgent(0);
@@ -51,7 +51,7 @@
   fleet->RestartEntry(0);
 }
 
-void KillEach(Fleet* fleet) {
+void KillEach(PathFleet* fleet) {
   fleet->KillUpstream(0);
   absl::SleepFor(absl::Milliseconds(500));
   fleet->RestartUpstream(0);
@@ -71,7 +71,7 @@
 
 // Executions of orders beyond their first, and of orders that were reported as
 // not run.
-void CheckOrders(const Fleet& fleet,
+void CheckOrders(const PathFleet& fleet,
                  const LoadFlowResult& orders,
                  FigurePrinter* printer) {
   std::multiset<std::string> ran;
@@ -102,7 +102,7 @@
 
 int RunBench(uint64_t seed) {
   FigurePrinter printer("kill");
-  Fleet fleet({.upstreams = 4, .entries = 2});
+  PathFleet fleet({.upstreams = 4, .entries = 2});
   if (!fleet.Start())
     return 1;
   LoadSettings load = MakeLoad(fleet, seed, "planned");
--- a/bench/path_bench.cc
+++ b/bench/path_bench.cc
@@ -8,7 +8,7 @@
 
 #include "base/strings.h"
 #include "bench/figure.h"
-#include "bench/fleet.h"
+#include "bench/path_fleet.h"
 #include "bench/sim_setup.h"
 
 namespace cuminjunction {
@@ -32,7 +32,7 @@
 }
 
 bool CompareLatency(uint64_t seed, FigurePrinter* printer) {
-  Fleet fleet({.upstreams = kUpstreams});
+  PathFleet fleet({.upstreams = kUpstreams});
   if (!fleet.Start())
     return false;
   LoadSettings load = MakeLoad(seed, kHalfLoad, "direct");
@@ -71,7 +71,7 @@
 // The highest of the offered rates that is answered in time, with the trivial
 // upstream. The offer grows until it is not.
 bool MeasureThroughput(uint64_t seed, FigurePrinter* printer) {
-  Fleet fleet({.upstreams = 4, .service_us = 0});
+  PathFleet fleet({.upstreams = 4, .service_us = 0});
   if (!fleet.Start())
     return false;
   fleet.PinEntry(0, &PinToTwo);
--- a/bench/process.cc
+++ b/bench/process.cc
@@ -80,8 +80,9 @@
   const absl::Time until = absl::Now() + limit;
   bool in_time = true;
   while (this->IsRunning()) {
-    const pid_t ended = waitpid(this->pid, nullptr, WNOHANG);
-    if (ended != 0) {
+    int status = 0;
+    if (waitpid(this->pid, &status, WNOHANG) != 0) {
+      this->exit_code = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
       this->pid = 0;
       break;
     }
--- a/bench/process.h
+++ b/bench/process.h
@@ -44,6 +44,9 @@
   // Waits for the end of the process. Kills it after `limit` and returns false.
   bool Wait(absl::Duration limit = absl::Seconds(10));
 
+  // Exit code of the last process, -1 when a signal ended it.
+  int ExitCode() const { return this->exit_code; }
+
   bool IsRunning() const { return this->pid > 0; }
   pid_t Pid() const { return this->pid; }
 
@@ -51,6 +54,7 @@
   void CloseFiles();
 
   pid_t pid = 0;
+  int exit_code = 0;
   int input = -1;
   int output = -1;
 };
--- a/testing/support/upstream_standin.cc
+++ b/testing/support/upstream_standin.cc
@@ -239,7 +239,7 @@
     if (this->file >= 0) {
       const auto now = std::chrono::system_clock::now().time_since_epoch();
       const std::string line =
-          work.key + " " +
+          (work.key.empty() ? "-" : work.key) + " " +
           std::to_string(
               std::chrono::duration_cast<std::chrono::microseconds>(now)
                   .count()) +
