Check heads from outside before they are sent on

A header of a caller or an upstream that the frame reader refuses would have ended the connection between entry and agent and left other attempts unknown. Also: connect and dead peer limits, growing times between connects, a limit of bytes that wait for an agent, and answers that arrive count as held.

--- a/request/entry_front.cc
+++ b/request/entry_front.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "base/strings.h"
 #include "request/entry_state.h"
 
 namespace cuminjunction {
@@ -58,7 +59,10 @@
       hedges_total(metrics->GetCounter("hedges_total")),
       late_total(metrics->GetCounter("late_answers_total")),
       damaged_total(metrics->GetCounter("entry_links_damaged_total")),
-      seconds(metrics->GetSummary("request_seconds")) {
+      // One for each shard, so that shards share no lock.
+      seconds(
+          metrics->GetSummary("request_seconds",
+                              StrCat("shard=\"", this->options.shard, "\""))) {
   this->front = std::make_unique<HttpFront>(
       &thread->Context(), this->options.http,
       [this](HttpExchange* exchange) { this->OnExchange(exchange); });
@@ -159,8 +163,7 @@
 
 void EntryFront::OnClaimed(uint64_t number, ClaimResult result) {
   const auto found = this->requests.find(number);
-  // A claim that comes after the deadline stays: the row is no obstacle, since
-  // the caller was told that the request was not run only after Release().
+  // The deadline has passed, and Release() was called.
   if (found == this->requests.end())
     return;
   Request* request = found->second.get();
--- a/request/entry_front.h
+++ b/request/entry_front.h
@@ -56,8 +56,15 @@
   // How long an agent may take to confirm a cancellation after the deadline,
   // in milliseconds. A confirmation makes the outcome certain.
   int cancel_grace_ms = 50;
-  // Time between two tries to connect to an agent, in milliseconds.
+  // Time from a lost connection to the next try to connect to the agent, in
+  // milliseconds. It doubles with each failure up to kMaxReconnectMs.
   int reconnect_ms = 100;
+  // How long an agent may take to accept a connection and say Hello, in
+  // milliseconds.
+  int connect_timeout_ms = 2000;
+  // The most bytes that wait for one agent to read them. Beyond them it gets
+  // no new attempts.
+  size_t max_link_bytes = 32 * 1024 * 1024;
   // Routing decisions kept for explain.
   size_t decisions_kept = 4096;
   // How long a draining shard takes new connections and requests, and how long
@@ -69,6 +76,8 @@
 
 inline constexpr uint32_t kMaxShards = 256;
 
+inline constexpr int kMaxReconnectMs = 2000;
+
 class EntryFront : public LinkHandler {
  public:
   // `chart`, `claims`, `log` and `metrics` must outlive the shard. Without
@@ -132,6 +141,7 @@
   void Connect(const std::shared_ptr<Agent>& agent);
   void ConnectLater(const std::shared_ptr<Agent>& agent);
   void OnConnected(const std::shared_ptr<Agent>& agent);
+  void OnConnectTimeout(const std::shared_ptr<Agent>& agent);
   void Lose(const std::shared_ptr<Agent>& agent, std::error_code error);
   void CloseAgent(Agent* agent);
   void CloseIfUnused(Agent* agent);
--- a/request/entry_links.cc
+++ b/request/entry_links.cc
@@ -1,5 +1,6 @@
 // Connections of an entry shard to agents, and what arrives on them.
 
+#include <algorithm>
 #include <boost/asio/ip/address.hpp>
 
 #include "request/entry_state.h"
@@ -10,6 +11,9 @@
 
 using boost::asio::ip::tcp;
 
+// Keeps the factor of the time between two tries small enough for an int.
+constexpr int kMaxDoublings = 8;
+
 }  // namespace
 
 void EntryFront::ApplyUpstreams(
@@ -55,6 +59,12 @@
     return;
   }
   agent->leaving = false;
+  agent->timer.expires_after(
+      std::chrono::milliseconds(this->options.connect_timeout_ms));
+  agent->timer.async_wait([this, agent](std::error_code expired) {
+    if (!expired && !this->stopped && !agent->retired && !agent->ready)
+      this->OnConnectTimeout(agent);
+  });
   agent->socket = tcp::socket(this->thread->Context());
   agent->socket.async_connect(tcp::endpoint(address, agent->endpoint.port),
                               [this, agent](std::error_code failure) {
@@ -68,8 +78,9 @@
 }
 
 void EntryFront::ConnectLater(const std::shared_ptr<Agent>& agent) {
-  agent->timer.expires_after(
-      std::chrono::milliseconds(this->options.reconnect_ms));
+  const int factor = 1 << std::min(agent->failures++, kMaxDoublings);
+  agent->timer.expires_after(std::chrono::milliseconds(
+      std::min(this->options.reconnect_ms * factor, kMaxReconnectMs)));
   agent->timer.async_wait([this, agent](std::error_code error) {
     if (!error && !this->stopped && !agent->retired)
       this->Connect(agent);
@@ -84,6 +95,18 @@
                           this->options.incarnation});
 }
 
+// The handlers of the closed socket or link start the next try.
+void EntryFront::OnConnectTimeout(const std::shared_ptr<Agent>& agent) {
+  if (!agent->link) {
+    boost::system::error_code ignored;
+    agent->socket.close(ignored);
+    return;
+  }
+  const std::shared_ptr<Link> link = agent->link;
+  link->Close();
+  this->OnClosed(link.get(), std::make_error_code(std::errc::timed_out));
+}
+
 void EntryFront::OnMessage(Link* link, Message&& message) {
   const auto found = this->by_link.find(link);
   if (found == this->by_link.end())
@@ -204,6 +227,8 @@
     return;
   }
   agent->ready = !agent->retired;
+  agent->failures = 0;
+  agent->timer.cancel();
   this->UpdateUnusable();
 }
 
@@ -222,10 +247,12 @@
   }
   attempt->has_head = true;
   attempt->answer = std::move(head);
-  if (attempt->answer.bytes.size() == attempt->answer.body_size)
+  if (attempt->answer.bytes.size() == attempt->answer.body_size) {
     this->OnWholeAnswer(request, attempt);
-  else
-    attempt->answer.bytes.reserve(attempt->answer.body_size);
+    return;
+  }
+  attempt->answer.bytes.reserve(attempt->answer.body_size);
+  this->front->HoldAhead(request->exchange, attempt->answer.body_size);
 }
 
 void EntryFront::Handle(Agent* agent, AnswerChunk&& chunk) {
--- a/request/entry_request.cc
+++ b/request/entry_request.cc
@@ -33,6 +33,8 @@
     {EntryError::kBadDeadline, 400, "bad-deadline",
      "deadline or timeout is not a number of milliseconds in range"},
     {EntryError::kBadPath, 400, "bad-path", "path does not start with '/'"},
+    {EntryError::kBadHead, 400, "bad-head",
+     "request line or header has a character that is not allowed"},
     {EntryError::kMethodNotAllowed, 405, "method-not-allowed",
      "method is not allowed"},
     {EntryError::kBodyTooLarge, 413, "body-too-large", "body is above 8 MiB"},
@@ -148,13 +150,10 @@
 Status CheckLine(const HttpExchange& exchange) {
   if (exchange.method == "CONNECT" || exchange.method == "TRACE")
     return EntryError::kMethodNotAllowed;
-  if (exchange.path.empty() || exchange.path.front() != '/')
+  if (!exchange.path.starts_with('/'))
     return EntryError::kBadPath;
-  for (const char c : exchange.path) {
-    const auto byte = static_cast<unsigned char>(c);
-    if (byte <= 0x20 || byte >= 0x7f)
-      return EntryError::kBadPath;
-  }
+  if (!IsValidHead(exchange.method, exchange.path, exchange.headers))
+    return EntryError::kBadHead;
   return Ok();
 }
 
--- a/request/entry_request.h
+++ b/request/entry_request.h
@@ -25,6 +25,7 @@
   kBadUrgency,
   kBadDeadline,
   kBadPath,
+  kBadHead,
   kMethodNotAllowed,
   kBodyTooLarge,
   kHeadersTooLarge,
--- a/request/entry_route.cc
+++ b/request/entry_route.cc
@@ -42,7 +42,8 @@
                               request.head.request_class, now, this->exclude,
                               &this->choice)) {
     const auto found = this->agents.find(this->choice.upstream);
-    if (found != this->agents.end() && found->second->ready)
+    if (found != this->agents.end() && found->second->ready &&
+        found->second->link->PendingBytes() <= this->options.max_link_bytes)
       return true;
     const bool is_new = std::find(this->exclude.begin(), this->exclude.end(),
                                   this->choice.upstream) == this->exclude.end();
--- a/request/entry_state.h
+++ b/request/entry_state.h
@@ -26,6 +26,8 @@
   // No longer among the upstreams.
   bool retired = false;
   size_t outstanding = 0;
+  // Tries to connect since the last usable connection.
+  int failures = 0;
 };
 
 struct EntryFront::Attempt {
--- a/request/http_front.cc
+++ b/request/http_front.cc
@@ -120,8 +120,9 @@
 void HttpFront::Answer(HttpExchange* exchange, HttpReply&& reply) {
   exchange->reply = std::move(reply);
   exchange->answered = true;
-  exchange->held += exchange->reply.body.size();
-  this->held_bytes += exchange->reply.body.size();
+  const size_t size = exchange->reply.body.size();
+  if (size > exchange->held_ahead)
+    this->HoldAhead(exchange, size - exchange->held_ahead);
   if (!exchange->suspended)
     return;
   // libmicrohttpd calls OnAccess() again, which queues the reply.
@@ -130,6 +131,12 @@
   this->ScheduleRun();
 }
 
+void HttpFront::HoldAhead(HttpExchange* exchange, size_t bytes) {
+  exchange->held_ahead += bytes;
+  exchange->held += bytes;
+  this->held_bytes += bytes;
+}
+
 void HttpFront::IgnoreNewConnections() {
   if (this->daemon == nullptr)
     return;
--- a/request/http_front.h
+++ b/request/http_front.h
@@ -86,8 +86,10 @@
   bool suspended = false;
   bool answered = false;
   size_t discarded = 0;
-  // Bytes of request and answer that count as held.
+  // Bytes of request and answer that count as held, and those of them that
+  // count for an answer that has not arrived in whole.
   size_t held = 0;
+  size_t held_ahead = 0;
   HttpReply reply;
 };
 
@@ -108,6 +110,10 @@
   // Answers an exchange, which ends with this call.
   void Answer(HttpExchange* exchange, HttpReply&& reply);
 
+  // Counts the bytes of an answer that is arriving as held, so that they
+  // belong to max_held_bytes before Answer().
+  void HoldAhead(HttpExchange* exchange, size_t bytes);
+
   // From now on each answer ends its connection.
   void CloseConnectionsAfterAnswers() { this->closing = true; }
 
--- a/request/idempotency.h
+++ b/request/idempotency.h
@@ -25,7 +25,8 @@
   virtual ~IdempotencyClaims() = default;
 
   // Claims the key of a client account for a request. Returns at once; `done`
-  // is called once, on any thread.
+  // is called once at most, on any thread, while the EventThread of the shard
+  // exists.
   virtual void Claim(const std::string& account,
                      const std::string& key,
                      const RequestId& id,
@@ -33,7 +34,8 @@
                      std::function<void(ClaimResult)> done) = 0;
 
   // Gives up the claim of a request that certainly has not run, so that the
-  // caller may try again with the same key.
+  // caller may try again with the same key. May come before `done` was called;
+  // the claim is then undone when it turns out to have been made.
   virtual void Release(const std::string& account,
                        const std::string& key,
                        const RequestId& id) = 0;
--- a/request/link.cc
+++ b/request/link.cc
@@ -1,5 +1,9 @@
 #include "request/link.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -14,6 +18,15 @@
 // delay of a small message behind them below 0.1 ms on a fast network.
 constexpr size_t kBatchBytes = 256 * 1024;
 
+// A connection ends when its peer acknowledges nothing for this long, so that
+// a VM that is gone does not hold attempts for the quarter of an hour that the
+// system would wait.
+constexpr int kDeadPeerMs = 10'000;
+
+void SetTcpOption(int fd, int option, int value) {
+  setsockopt(fd, IPPROTO_TCP, option, &value, sizeof(value));
+}
+
 }  // namespace
 
 bool IsDamage(std::error_code error) {
@@ -31,6 +44,11 @@
 void Link::Start() {
   boost::system::error_code ignored;
   this->socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+  const int fd = this->socket.native_handle();
+  SetTcpOption(fd, TCP_USER_TIMEOUT, kDeadPeerMs);
+  SetTcpOption(fd, TCP_KEEPIDLE, kDeadPeerMs / 2000);
+  SetTcpOption(fd, TCP_KEEPINTVL, kDeadPeerMs / 4000);
+  this->socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
   this->Read();
 }
 
--- a/request/message.cc
+++ b/request/message.cc
@@ -39,7 +39,7 @@
 
 bool IsHeaderList(const HeaderList& headers) {
   for (const auto& [name, value] : headers) {
-    if (!IsWord(name) || name.find(':') != std::string::npos || !IsText(value))
+    if (!IsValidHeader(name, value))
       return false;
   }
   return true;
@@ -80,9 +80,7 @@
   BOOST_OUTCOME_TRY(CheckBody(message.body_size, message.bytes.size()));
   return Check(IsId(message.id) && IsName(message.account) &&
                IsName(message.service) && message.urgency <= Urgency::kBatch &&
-               IsName(message.method) && IsWord(message.method) &&
-               IsWord(message.path) && message.path.front() == '/' &&
-               IsHeaderList(message.headers));
+               IsValidHead(message.method, message.path, message.headers));
 }
 
 Status CheckFields(const BodyChunk& message) {
@@ -93,8 +91,8 @@
   if (HeaderBytes(message.headers) > kMaxAnswerHeaderBytes)
     return MessageError::kTooLarge;
   BOOST_OUTCOME_TRY(CheckBody(message.body_size, message.bytes.size()));
-  return Check(IsId(message.id) && message.status >= 200 &&
-               message.status <= 999 && IsHeaderList(message.headers));
+  return Check(IsId(message.id) && IsFinalStatus(message.status) &&
+               IsHeaderList(message.headers));
 }
 
 Status CheckFields(const AnswerChunk& message) {
@@ -163,6 +161,18 @@
   return bytes;
 }
 
+bool IsValidHeader(std::string_view name, std::string_view value) {
+  return IsWord(name) && name.find(':') == std::string_view::npos &&
+         IsText(value);
+}
+
+bool IsValidHead(std::string_view method,
+                 std::string_view path,
+                 const HeaderList& headers) {
+  return IsName(method) && IsWord(method) && IsWord(path) &&
+         path.front() == '/' && IsHeaderList(headers);
+}
+
 std::string_view ToString(BrokenReason reason) {
   switch (reason) {
     case BrokenReason::kCutOff:
--- a/request/message.h
+++ b/request/message.h
@@ -62,6 +62,16 @@
 // Bytes that a header block takes up in HTTP/1.1, without its final line.
 size_t HeaderBytes(const HeaderList& headers);
 
+// True when a header field can be passed on in HTTP as it is.
+bool IsValidHeader(std::string_view name, std::string_view value);
+
+// True when a request line and its headers can be passed on in HTTP as they
+// are. A Submit or an answer that breaks these rules is damage and ends the
+// connection, so each side checks what comes from outside before it sends.
+bool IsValidHead(std::string_view method,
+                 std::string_view path,
+                 const HeaderList& headers);
+
 namespace message_internal {
 
 template <class Archive, class E>
@@ -73,6 +83,11 @@
 
 }  // namespace message_internal
 
+// True for a status that ends a request.
+inline bool IsFinalStatus(uint32_t status) {
+  return status >= 200 && status <= 999;
+}
+
 // The first message in each direction.
 struct Hello {
   uint32_t protocol = kProtocolVersion;
--- a/request/testing/agent_test.cc
+++ b/request/testing/agent_test.cc
@@ -154,6 +154,21 @@
   EXPECT_EQ(fixture.upstream.Count(), 5);
 }
 
+// Guards against a header of an upstream that is not allowed ending the
+// connection to the entry, which takes it for damage.
+TEST(AgentTest, HeadersThatAreNotAllowedAreLeftOut) {
+  AgentFixture fixture([](const ScriptRequest&) -> ScriptReaction {
+    return {
+        "HTTP/1.1 200 OK\r\nX A: 1\r\nX-B: \x01\r\nX-C: 3\r\n"
+        "Content-Length: 0\r\n\r\n"};
+  });
+  ScriptPeer entry("entry");
+  entry.Connect(fixture.Port(), kEntry);
+  entry.Send(SubmitOf(1));
+  const HeaderList expected = {{"X-C", "3"}};
+  EXPECT_EQ(entry.Wait<AnswerHead>(1)[0].headers, expected);
+}
+
 // Guards against libcurl sending an order again when a kept connection ends
 // without an answer (P6).
 TEST(AgentTest, OrderIsNotResentOnANewConnection) {
--- a/request/testing/entry_test.cc
+++ b/request/testing/entry_test.cc
@@ -316,6 +316,7 @@
   EXPECT_EQ(call("GET", "/", {service, "Cuminjunction-Timeout-Ms: -1"}), 400);
   EXPECT_EQ(call("GET", "/", {service, "Cuminjunction-Deadline: 1"}), 504);
   EXPECT_EQ(call("GET", "/", {service}), 503);
+  EXPECT_EQ(call("GET", "/", {service, "X-A: b\x01 c"}), 400);
   EXPECT_EQ(
       call("GET", "/", {service, "X: " + std::string(kMaxHeaderBytes, 'x')}),
       431);
--- a/request/upstream_caller.cc
+++ b/request/upstream_caller.cc
@@ -276,8 +276,8 @@
   // Without a stated length the end of the answer can't be told from a broken
   // connection.
   const bool has_body = !answer.body.empty();
-  if (answer.result == CallResult::kAnswered && has_body &&
-      !transfer->has_length)
+  if (answer.result == CallResult::kAnswered &&
+      ((has_body && !transfer->has_length) || !IsFinalStatus(answer.status)))
     answer.result = CallResult::kCutOff;
   const uint64_t call = transfer->call;
   this->Release(std::move(transfer));
@@ -402,8 +402,9 @@
     if (EqualsIgnoreCase(name, "Content-Length") ||
         EqualsIgnoreCase(name, "Transfer-Encoding"))
       self->has_length = true;
-    if (!IsHopByHop(name))
-      self->answer.headers.emplace_back(name, Trim(line.substr(colon + 1)));
+    const std::string_view value = Trim(line.substr(colon + 1));
+    if (!IsHopByHop(name) && IsValidHeader(name, value))
+      self->answer.headers.emplace_back(name, value);
   }
   return size * count;
 }
