--- a/request/entry_front.h
+++ b/request/entry_front.h
@@ -192,6 +192,7 @@
   void OnWholeAnswer(Request* request, Attempt* attempt);
   void OnAttemptBroken(Request* request, uint32_t number);
   void OnAttemptRefused(Request* request, uint32_t number, Refusal reason);
+  void RetryOrEnd(Request* request, bool needs_budget);
   void Hedge(Request* request);
   void EndUnanswered(Request* request);
   void RemoveAttempt(Request* request, uint32_t number);
--- a/request/entry_route.cc
+++ b/request/entry_route.cc
@@ -17,6 +17,13 @@
   return is_retry ? "retry" : "first";
 }
 
+// Retries are limited where they would add load to upstreams that have too
+// much of it. An agent that leaves or whose upstream is down only passes its
+// share on, and a planned stop must not fail requests for want of a budget.
+bool NeedsBudget(Refusal reason) {
+  return reason != Refusal::kLeaving && reason != Refusal::kUpstreamDown;
+}
+
 }  // namespace
 
 void EntryFront::Route(Request* request, SendReason reason) {
@@ -181,17 +188,7 @@
   this->RemoveAttempt(request, number);
   if (!request->outstanding.empty())
     return;
-  const absl::Time now = absl::Now();
-  const bool retry = !request->cancelling && request->attempts.MaySend() &&
-                     request->attempts.Count() < this->options.max_attempts &&
-                     now < request->head.deadline &&
-                     this->policy->AllowRetry(now);
-  if (!retry) {
-    this->EndUnanswered(request);
-    return;
-  }
-  this->retries_total.Add();
-  this->Route(request, SendReason::kRetry);
+  this->RetryOrEnd(request, /*needs_budget=*/true);
 }
 
 void EntryFront::OnAttemptRefused(Request* request,
@@ -202,12 +199,18 @@
   request->last_refusal = reason;
   if (!request->outstanding.empty())
     return;
+  if (reason == Refusal::kDeadline)
+    this->EndUnanswered(request);
+  else
+    this->RetryOrEnd(request, NeedsBudget(reason));
+}
+
+void EntryFront::RetryOrEnd(Request* request, bool needs_budget) {
   const absl::Time now = absl::Now();
-  const bool retry = !request->cancelling && reason != Refusal::kDeadline &&
-                     request->attempts.MaySend() &&
+  const bool retry = !request->cancelling && request->attempts.MaySend() &&
                      request->attempts.Count() < this->options.max_attempts &&
                      now < request->head.deadline &&
-                     this->policy->AllowRetry(now);
+                     (!needs_budget || this->policy->AllowRetry(now));
   if (!retry) {
     this->EndUnanswered(request);
     return;
--- a/request/testing/agent_test.cc
+++ b/request/testing/agent_test.cc
@@ -291,6 +291,28 @@
   EXPECT_EQ(entry.Wait<AnswerHead>(1)[0].bytes, "fine");
 }
 
+// Guards against memory that grows without bound for an entry that does not
+// read its answers.
+TEST(AgentTest, EntryThatDoesNotReadIsClosed) {
+  Log log("");
+  Metrics metrics;
+  ScriptUpstream upstream([](const ScriptRequest&) {
+    return Reply(std::string(kMaxBodyBytes, 'x'));
+  });
+  AgentOptions options;
+  options.max_link_bytes = kMaxBodyBytes;
+  TestAgent agent("agent", upstream.Port(), &log, &metrics, 8, options);
+  ScriptPeer peer("raw");
+  peer.ConnectRaw(agent.endpoint.port);
+  std::string wire = FrameOf(Hello{kProtocolVersion, "entry", kEntry});
+  for (uint64_t number = 1; number <= 8; ++number)
+    wire += FrameOf(SubmitOf(number));
+  peer.SendRaw(wire);
+  EXPECT_TRUE(WaitUntil([&] {
+    return metrics.GetCounter("agent_links_damaged_total").Value() == 1;
+  }));
+}
+
 // Guards against a body that is longer than announced, or whose end is wrong,
 // reaching the upstream.
 TEST(AgentTest, BodyThatDoesNotMatchItsSizeIsNotRun) {
--- a/request/testing/path_harness.h
+++ b/request/testing/path_harness.h
@@ -122,9 +122,9 @@
                      uint16_t upstream_port,
                      Log* log,
                      Metrics* metrics,
-                     uint32_t slots = 8)
+                     uint32_t slots = 8,
+                     AgentOptions options = {})
       : thread(name) {
-    AgentOptions options;
     options.process = name;
     options.services = {"runner"};
     options.upstream.port = upstream_port;
--- a/request/testing/path_test.cc
+++ b/request/testing/path_test.cc
@@ -133,7 +133,7 @@
 // one unknown (P8).
 TEST(PathTest, AgentLeavesUnderLoad) {
   ScriptUpstream upstream([](const ScriptRequest&) { return Reply("done"); });
-  PathHarness path({}, {.burst = 1e6});
+  PathHarness path({}, {.retry_share = 0, .burst = 0});
   for (int i = 0; i < 3; ++i)
     path.AddAgent(upstream.Port());
   ASSERT_TRUE(path.Connect());
