--- a/request/entry_links.cc
+++ b/request/entry_links.cc
@@ -221,7 +221,7 @@
 
 void EntryFront::Handle(Agent* agent, Hello&& hello) {
   const std::shared_ptr<Link> link = agent->link;
-  if (agent->ready || hello.process != agent->endpoint.name) {
+  if (agent->ready || agent->leaving || hello.process != agent->endpoint.name) {
     link->Close();
     this->OnClosed(link.get(), MessageError::kWrongPeer);
     return;
--- a/request/entry_request.cc
+++ b/request/entry_request.cc
@@ -60,6 +60,8 @@
      "request may have run, and no answer came before the deadline"},
 };
 
+constexpr std::string_view kOwnPrefix = "Cuminjunction-";
+
 const ErrorRow& RowOf(EntryError error) {
   return kErrors[static_cast<size_t>(error) - 1];
 }
@@ -88,6 +90,16 @@
   return "";
 }
 
+// Neither a caller nor an upstream may set the headers that name a request and
+// say what is certain about it.
+void EraseOwnHeaders(HeaderList* headers) {
+  std::erase_if(*headers, [](const auto& header) {
+    return EqualsIgnoreCase(
+        std::string_view(header.first).substr(0, kOwnPrefix.size()),
+        kOwnPrefix);
+  });
+}
+
 std::optional<int64_t> ParseMillis(const std::string& text) {
   int64_t value = 0;
   const char* end = text.data() + text.size();
@@ -197,6 +209,7 @@
   head.deadline = deadline;
   head.idempotent = IsIdempotent(service->second, exchange->method);
   head.idempotency_key = FindHeader(*headers, "Idempotency-Key");
+  EraseOwnHeaders(headers);
   return head;
 }
 
@@ -227,10 +240,7 @@
   HttpReply reply;
   reply.status = answer.status;
   reply.headers = std::move(answer.headers);
-  // Only the entry says what is certain about a request.
-  std::erase_if(reply.headers, [](const auto& header) {
-    return EqualsIgnoreCase(header.first, "Cuminjunction-Outcome");
-  });
+  EraseOwnHeaders(&reply.headers);
   reply.headers.emplace_back("Cuminjunction-Outcome",
                              ToString(Outcome::kAnswered));
   reply.headers.emplace_back("Cuminjunction-Request",
--- a/request/entry_request.h
+++ b/request/entry_request.h
@@ -70,8 +70,8 @@
 // Limits for the deadlines of callers.
 inline constexpr absl::Duration kMaxRequestTimeout = absl::Minutes(10);
 
-// Reads method, path and headers. The headers that only the entry needs are
-// removed from the exchange. Fails with the error to answer.
+// Reads method, path and headers. All headers that start with "Cuminjunction-"
+// are removed from the exchange. Fails with the error to answer.
 Result<RequestHead> ParseRequestHead(HttpExchange* exchange,
                                      const Document& document,
                                      absl::Time now);
--- a/request/testing/entry_test.cc
+++ b/request/testing/entry_test.cc
@@ -52,7 +52,7 @@
     EXPECT_EQ(calls[static_cast<size_t>(i)].get().body, StrCat("/", i));
 }
 
-// Guards against an agent answering an attempt that another agent has.
+// Guards against an agent answering an attempt that it does not have.
 TEST(EntryTest, AnswerOfAnotherAgentIsDropped) {
   ScriptPeer a("a");
   ScriptPeer b("b");
@@ -67,7 +67,9 @@
   ScriptPeer& wrong = at_a ? b : a;
   const AttemptId id = right.Received<Submit>()[0].id;
   wrong.Send(AnswerTo(id, "wrong"));
-  ASSERT_TRUE(WaitUntil([&] { return path.Count("late_answers_total") == 1; }));
+  // An attempt that the entry has not sent.
+  right.Send(AnswerTo({id.request, id.attempt + 1}, "wrong"));
+  ASSERT_TRUE(WaitUntil([&] { return path.Count("late_answers_total") == 2; }));
   right.Send(AnswerTo(id, "right"));
   EXPECT_EQ(call.get().body, "right");
 }
--- a/request/testing/path_test.cc
+++ b/request/testing/path_test.cc
@@ -24,6 +24,25 @@
   EXPECT_EQ(path.Call("GET", "/x").status, 200);
 }
 
+// Guards against a caller or an upstream forging the headers that name a
+// request and its outcome.
+TEST(PathTest, OwnHeadersCannotBeForged) {
+  ScriptUpstream upstream([](const ScriptRequest& request) -> ScriptReaction {
+    const bool forged = request.head.find("forged") != std::string::npos;
+    return {
+        StrCat("HTTP/1.1 200 OK\r\nCuminjunction-Outcome: not-run\r\n"
+               "Content-Length: 1\r\n\r\n",
+               forged ? "1" : "0")};
+  });
+  PathHarness path;
+  path.AddAgent(upstream.Port());
+  ASSERT_TRUE(path.Connect());
+  const CallerAnswer answer =
+      path.Call("GET", "/", "", {"cuminjunction-request: forged"});
+  EXPECT_EQ(answer.body, "0");
+  EXPECT_EQ(answer.Outcome(), "answered");
+}
+
 // Guards against chunks of large bodies being lost, mixed up or reordered when
 // several travel at a time in both directions.
 TEST(PathTest, LargeBodiesBothWays) {
