--- a/task/plan.cc
+++ b/task/plan.cc
@@ -124,6 +124,17 @@
   });
 }
 
+Status Plan::Throttle(const std::string& task, int32_t share_percent) {
+  const TaskEntry* task_entry = this->state->FindTask(task);
+  if (task_entry == nullptr)
+    return PlanError::kUnknownTask;
+  const std::string worker = task_entry->row.worker;
+  return this->DecideWorker(worker, [&](const WorkerEntry& entry,
+                                        Batch* batch) {
+    return cuminjunction::Throttle(*task_entry, entry, share_percent, batch);
+  });
+}
+
 Status Plan::Cancel(const std::string& task, std::string_view reason) {
   const TaskEntry* task_entry = this->state->FindTask(task);
   if (task_entry == nullptr)
--- a/task/plan.h
+++ b/task/plan.h
@@ -52,6 +52,7 @@
                absl::Time now,
                PlaceMode mode);
   Status Evict(const std::string& task, std::string_view reason);
+  Status Throttle(const std::string& task, int32_t share_percent);
   Status Cancel(const std::string& task, std::string_view reason);
   Status Park(const std::string& task,
               ParkReason park_reason,
--- a/task/row.cc
+++ b/task/row.cc
@@ -127,6 +127,7 @@
     reader.Read("size", &out->size);
     reader.Read("epoch", &out->epoch);
     reader.ReadName("action", kActions, &out->action);
+    reader.Read("share_percent", &out->share_percent);
     return !reader.Error();
   }
 
@@ -301,7 +302,8 @@
                            {"attempt", assignment.attempt},
                            {"size", SizeJson(assignment.size)},
                            {"epoch", assignment.epoch},
-                           {"action", NameOf(kActions, assignment.action)}});
+                           {"action", NameOf(kActions, assignment.action)},
+                           {"share_percent", assignment.share_percent}});
   }
   Json json = {{"capacity", SizeJson(row.capacity)},
                {"failure_domain", row.failure_domain},
--- a/task/row.h
+++ b/task/row.h
@@ -175,6 +175,8 @@
   // than the worker row's is lost.
   uint64_t epoch = 0;
   AssignmentAction action = AssignmentAction::kRun;
+  // Share of its processors that the task may use, in percent.
+  int32_t share_percent = 100;
 
   bool operator==(const Assignment&) const = default;
 };
--- a/task/testing/fake_runtime.h
+++ b/task/testing/fake_runtime.h
@@ -97,7 +97,7 @@
 
   Status Stop(const std::string& task, uint32_t attempt) {
     this->Enter();
-    if (this->down)
+    if (this->down || this->stops_fail)
       return RuntimeError::kUnavailable;
     this->tombstones.insert({task, attempt});
     const auto found = this->running.find(task);
@@ -116,9 +116,12 @@
     return StrCat("checkpoint/", task, "/", attempt);
   }
 
-  Status Throttle(const std::string& /*task*/,
-                  uint32_t /*attempt*/,
-                  double /*share*/) {
+  Status Throttle(const std::string& task, uint32_t attempt, double share) {
+    this->Enter();
+    const auto found = this->running.find(task);
+    if (found == this->running.end() || found->second.start.attempt != attempt)
+      return RuntimeError::kNotFound;
+    found->second.share = share;
     return Ok();
   }
 
@@ -137,7 +140,7 @@
     RuntimeState state;
     state.boot_id = StrCat(this->worker, "-boot-", this->boots);
     for (const auto& [id, task] : this->running)
-      state.running.push_back({id, task.start.attempt});
+      state.running.push_back({id, task.start.attempt, 0, 0, task.share});
     state.ended = this->ended;
     return state;
   }
@@ -152,6 +155,8 @@
     return Ok();
   }
 
+  const std::optional<absl::Time>& Deadline() const { return this->deadline; }
+
   // What runs at this moment.
   std::vector<TaskStart> Running() const {
     std::vector<TaskStart> out;
@@ -167,12 +172,14 @@
   // Calls fail; what runs goes on.
   bool down = false;
   bool checkpoints_fail = false;
+  bool stops_fail = false;
 
  private:
   struct Task {
     TaskStart start;
     absl::Time ends_at;
     AttemptEnd end = AttemptEnd::kSucceeded;
+    double share = 1;
   };
 
   void Enter() {
--- a/task/testing/schedule.h
+++ b/task/testing/schedule.h
@@ -26,6 +26,7 @@
   kLateEffect,
   kPauseProcess,
   kPauseInCall,
+  kCutOff,
   kReboot,
   kKillProcess,
   kRuntimeDown,
@@ -189,6 +190,10 @@
         process->calls_to_pause = static_cast<int>(event.target / 16 % 12);
         process->call_pause = amount;
         break;
+      case Fault::kCutOff:
+        process->calls_to_cut = static_cast<int>(event.target / 16 % 6);
+        process->cut_length = amount;
+        break;
       case Fault::kReboot:
         this->world.Reboot(worker, absl::Seconds(event.amount % 40));
         break;
@@ -273,6 +278,8 @@
 
   void HealProcess(World::Process* process) {
     process->calls_to_pause = -1;
+    process->calls_to_cut = -1;
+    process->cut_until = absl::InfinitePast();
     process->table->failing_calls = 0;
     process->table->lost_replies = 0;
     process->table->late_commits = 0;
--- a/task/testing/world.h
+++ b/task/testing/world.h
@@ -70,6 +70,11 @@
     // The pause in the middle of a call: calls until then, and its length.
     int calls_to_pause = -1;
     absl::Duration call_pause;
+    // When the process alone can't reach the table: calls until then, and how
+    // long.
+    int calls_to_cut = -1;
+    absl::Duration cut_length;
+    absl::Time cut_until;
     std::unique_ptr<FaultyTable> table;
   };
 
@@ -263,6 +268,14 @@
     process->table = std::make_unique<FaultyTable>(&this->table);
     process->table->on_call = [this, process] { this->OnCall(process); };
     this->Connect(process->table.get());
+    process->table->is_down = [this, process] { return this->IsCut(process); };
+  }
+
+  bool IsCut(Process* process) {
+    const absl::Time now = this->clock.Now();
+    if (process->calls_to_cut >= 0 && process->calls_to_cut-- == 0)
+      process->cut_until = now + process->cut_length;
+    return now < process->cut_until || now < this->outage_until;
   }
 
   // A process makes a call: the place for a pause in the middle of a tick.
--- a/task/transitions.cc
+++ b/task/transitions.cc
@@ -13,6 +13,8 @@
 // Workers that a task failed on and that its row names; the oldest are dropped.
 constexpr size_t kFailedOnKept = 8;
 
+constexpr int32_t kWholeShare = 100;
+
 // Keeps the shift within 32 bits; the longest back-off is reached before.
 constexpr uint32_t kMostDoublings = 16;
 
@@ -112,6 +114,8 @@
       return "lease was renewed since it was observed";
     case TransitionError::kStillRunning:
       return "attempt may still be running";
+    case TransitionError::kBadShare:
+      return "share is not within 1 to 100 percent";
     case TransitionError::kRowState:
       return "row is not in the state that the step needs";
   }
@@ -210,6 +214,21 @@
   return Ok();
 }
 
+Status Throttle(const TaskEntry& task,
+                const WorkerEntry& worker,
+                int32_t share_percent,
+                Batch* batch) {
+  const TaskRow& row = batch->Current(task).row;
+  WorkerRow target = batch->Current(worker).row;
+  if (share_percent < 1 || share_percent > kWholeShare)
+    return TransitionError::kBadShare;
+  if (!Agree(row, target))
+    return TransitionError::kOldAttempt;
+  FindAssignment(&target, row.id)->share_percent = share_percent;
+  batch->Set(worker, std::move(target));
+  return Ok();
+}
+
 Status Cancel(const TaskEntry& task,
               const WorkerEntry* worker,
               std::string_view reason,
--- a/task/transitions.h
+++ b/task/transitions.h
@@ -39,6 +39,8 @@
   kLeaseRenewed,
   // The attempt belongs to the worker's present epoch, so it may be running.
   kStillRunning,
+  // A share is not within 1 to 100 percent.
+  kBadShare,
   // The row exists, or does not, contrary to what the transition needs.
   kRowState,
 };
@@ -89,6 +91,13 @@
              std::string_view reason,
              Batch* batch);
 
+// Limits a placed task to a share of its processors, 1 to 100 percent. Only the
+// worker row changes.
+Status Throttle(const TaskEntry& task,
+                const WorkerEntry& worker,
+                int32_t share_percent,
+                Batch* batch);
+
 // Cancels a task for good. A placed one keeps its capacity until the worker
 // reports that it has stopped; `worker` is the row of the task's worker, null
 // when it has none.
--- a/task/worker_agent.h
+++ b/task/worker_agent.h
@@ -26,6 +26,7 @@
 // row and what the runtime reports.
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <optional>
 #include <set>
@@ -40,28 +41,10 @@
 #include "platform/table.h"
 #include "task/lease.h"
 #include "task/transitions.h"
+#include "task/worker_agent_options.h"
 
 namespace cuminjunction {
 
-struct WorkerAgentOptions {
-  // Id, capacity, failure domain, rack and region of the worker; the boot id
-  // comes from the runtime.
-  WorkerRow declared;
-  // Distinguishes the transactions of this process.
-  std::string process;
-  LeasePolicy lease;
-  RetryPolicy retry;
-  // How often the worker row is read without a nudge.
-  absl::Duration poll_every = absl::Seconds(10);
-  // How often the runtime is asked for ended attempts; ticks are at most as far
-  // apart.
-  absl::Duration list_every = absl::Seconds(1);
-  // The wait after a failed call of table or runtime.
-  absl::Duration retry_after = absl::Seconds(2);
-  // How often an eviction asks for a checkpoint before it stops without one.
-  int checkpoint_tries = 3;
-};
-
 template <Table T, Runtime R, Clock Steady, Clock Wall>
 class WorkerAgent {
  public:
@@ -276,9 +259,11 @@
       if (assignment.epoch != this->epoch || this->HasEnded(state, assignment))
         continue;
       const auto found = running.find(assignment.task);
-      const bool runs = found != running.end() &&
-                        found->second->attempt == assignment.attempt;
-      done = this->CarryOut(assignment, runs) && done;
+      const RunningTask* task =
+          found == running.end() ? nullptr : found->second;
+      if (task != nullptr && task->attempt != assignment.attempt)
+        task = nullptr;
+      done = this->CarryOut(assignment, task) && done;
     }
     return done;
   }
@@ -292,12 +277,14 @@
                        });
   }
 
-  bool CarryOut(const Assignment& assignment, bool runs) {
+  // `task` is null when the attempt does not run.
+  bool CarryOut(const Assignment& assignment, const RunningTask* task) {
     switch (assignment.action) {
       case AssignmentAction::kRun:
-        return runs || this->Start(assignment);
+        return task == nullptr ? this->Start(assignment)
+                               : this->SetShare(assignment, *task);
       case AssignmentAction::kEvict:
-        return this->GiveUp(assignment, runs);
+        return this->GiveUp(assignment, task != nullptr);
       case AssignmentAction::kStop:
         // Also when it does not run: the runtime then refuses a start that is
         // still under way.
@@ -324,6 +311,14 @@
     return static_cast<bool>(started);
   }
 
+  bool SetShare(const Assignment& assignment, const RunningTask& task) {
+    const double share = assignment.share_percent / 100.0;
+    if (std::abs(task.throttle - share) < kShareTolerance)
+      return true;
+    return static_cast<bool>(
+        this->runtime->Throttle(task.task, task.attempt, share));
+  }
+
   // Checkpoints and stops an evicted attempt. After some failures the work
   // since the last checkpoint is given up, since the capacity is needed.
   bool GiveUp(const Assignment& assignment, bool runs) {
@@ -465,6 +460,9 @@
 
   using AttemptKey = std::pair<std::string, uint32_t>;
 
+  // Below one percent, the unit of shares in rows.
+  static constexpr double kShareTolerance = 0.005;
+
   WorkerAgentOptions options;
   const TaskCharts* charts;
   T* table;
