--- a/task/follower.h
+++ b/task/follower.h
@@ -92,7 +92,7 @@
                         table->ScanSince(prefix, *cursor, this->options.page));
       const bool is_last =
           page.size() < static_cast<size_t>(this->options.page);
-      this->Take(std::move(page), cursor, out);
+      this->Take(std::move(page), UINT64_MAX, cursor, out);
       if (is_last)
         return Ok();
     }
@@ -113,7 +113,7 @@
       --*pages;
       const bool is_last =
           page.size() < static_cast<size_t>(this->options.page);
-      this->Take(std::move(page), cursor, out);
+      this->Take(std::move(page), end, cursor, out);
       if (!is_last)
         continue;
       *pages = std::max(*pages, 1);
@@ -124,9 +124,15 @@
     return Ok();
   }
 
-  void Take(std::vector<Row> page, uint64_t* cursor, std::vector<Row>* out) {
+  // Rows above the version `end` were read before.
+  void Take(std::vector<Row> page,
+            uint64_t end,
+            uint64_t* cursor,
+            std::vector<Row>* out) {
     for (Row& row : page) {
       *cursor = std::max(*cursor, row.version);
+      if (row.version > end)
+        continue;
       out->push_back(std::move(row));
     }
   }
--- a/task/placer.cc
+++ b/task/placer.cc
@@ -16,9 +16,10 @@
 constexpr int kEvictionCandidates = 24;
 
 // Less urgent work that can be checkpointed and resumed elsewhere.
-bool IsEvictable(const TaskRow& victim, const TaskRow& task) {
-  return victim.IsPlaced() && victim.kind == TaskKind::kBatch &&
-         victim.urgency > task.urgency;
+// What was placed in this round is the floor of its class.
+bool IsEvictable(const TaskRow& victim, const TaskRow& task, absl::Time now) {
+  return victim.IsPlaced() && FromMicros(victim.placed_us) < now &&
+         victim.kind == TaskKind::kBatch && victim.urgency > task.urgency;
 }
 
 // Core-seconds that are lost when the task resumes from its checkpoint, or
@@ -47,6 +48,12 @@
   return true;
 }
 
+std::string QuotaReason(const TaskRow& task, const Size& quota) {
+  return Fits(task.size, quota)
+             ? StrCat("quota of ", task.account, " is used up")
+             : StrCat("it is larger than the quota of ", task.account);
+}
+
 Placer::Placer(const PlacerOptions& options)
     : options(options),
       random(options.seed),
@@ -113,6 +120,12 @@
   return out;
 }
 
+void Placer::NoteWithoutRoom(const TaskRow& task) {
+  if (task.urgency == Urgency::kUrgent &&
+      this->without_room.size() < this->options.most_evicted_for)
+    this->without_room.push_back(task.id);
+}
+
 std::vector<Urgency> Placer::ClassOrder(const State& state, bool urgent_only) {
   if (urgent_only)
     return {Urgency::kUrgent};
@@ -164,7 +177,8 @@
 
 std::vector<std::string> Placer::Victims(const State& state,
                                          const WorkerRow& worker,
-                                         const TaskRow& task) const {
+                                         const TaskRow& task,
+                                         absl::Time now) const {
   std::vector<const TaskRow*> evictable;
   Size free = worker.Free();
   const auto kept = this->reserved.find(worker.id);
@@ -172,7 +186,7 @@
     free = free - kept->second;
   for (const Assignment& assignment : worker.assignments) {
     const TaskEntry* entry = state.FindTask(assignment.task);
-    if (entry != nullptr && IsEvictable(entry->row, task))
+    if (entry != nullptr && IsEvictable(entry->row, task, now))
       evictable.push_back(&entry->row);
     // Room that earlier decisions are freeing.
     if (assignment.action != AssignmentAction::kRun)
@@ -203,7 +217,8 @@
     const WorkerRow& worker = state.FindWorker(ready[index])->row;
     if (!Fits(task.size, worker.capacity))
       continue;
-    const std::vector<std::string> victims = this->Victims(state, worker, task);
+    const std::vector<std::string> victims =
+        this->Victims(state, worker, task, now);
     double cost = 0;
     for (const std::string& id : victims)
       cost += LostWork(state.FindTask(id)->row, now);
@@ -215,15 +230,26 @@
   return best;
 }
 
+bool Placer::IsBelowFloor(const State& state,
+                          const std::vector<std::string>& victims) const {
+  Size left[kUrgencyCount];
+  for (const Urgency urgency : {Urgency::kNormal, Urgency::kBatch})
+    left[static_cast<size_t>(urgency)] = state.UseOf(urgency);
+  for (const std::string& id : victims) {
+    const TaskRow& victim = state.FindTask(id)->row;
+    Size& use = left[static_cast<size_t>(victim.urgency)];
+    use = use - victim.size;
+    if (DominantShare(use, state.Capacity()) < this->options.eviction_floor)
+      return true;
+  }
+  return false;
+}
+
 void Placer::MakeRoom(const State& state,
                       absl::Time now,
                       Plan* plan,
                       Explainer* explainer) {
   const std::vector<std::string> tasks = std::move(this->without_room);
-  const double batch_share =
-      DominantShare(state.UseOf(Urgency::kBatch), state.Capacity());
-  if (batch_share < this->options.eviction_floor)
-    return;
   for (const std::string& id : tasks) {
     if (this->reservations.contains(id))
       continue;
@@ -232,7 +258,7 @@
       continue;
     const TaskRow task = entry->row;
     const auto [worker, victims] = this->CheapestRoom(state, task, now);
-    if (victims.empty())
+    if (victims.empty() || this->IsBelowFloor(state, victims))
       continue;
     if (!this->evictions.Take(static_cast<double>(victims.size())))
       return;
--- a/task/placer.h
+++ b/task/placer.h
@@ -38,8 +38,12 @@
   // Workers scored for a decision: the tightest that fit and random ones.
   int tight_candidates = 12;
   int random_candidates = 12;
-  // Waiting tasks of an account that a round looks at.
+  // Waiting tasks of an account that a round tries to place, and those that it
+  // passes over because their size had no room before.
   int most_looks = 64;
+  int most_skips = 1000;
+  // Urgent tasks for which a round considers evictions.
+  size_t most_evicted_for = 32;
   // Every n-th placement goes to a less urgent class if one has work.
   uint64_t floor_every = 8;
   // Share of the capacity below which a class is not evicted.
@@ -80,6 +84,9 @@
   absl::Time last = absl::InfinitePast();
 };
 
+// Why a task waits for its account's quota.
+std::string QuotaReason(const TaskRow& task, const Size& quota);
+
 class Placer {
  public:
   explicit Placer(const PlacerOptions& options);
@@ -140,6 +147,9 @@
                          Plan* plan,
                          Explainer* explainer);
 
+  // Remembers an urgent task to evict for.
+  void NoteWithoutRoom(const TaskRow& task);
+
   // The order in which the next placement tries the classes.
   std::vector<Urgency> ClassOrder(const State& state, bool urgent_only);
 
@@ -157,7 +167,11 @@
   // Tasks to evict from a worker to make room, empty when it can't be done.
   std::vector<std::string> Victims(const State& state,
                                    const WorkerRow& worker,
-                                   const TaskRow& task) const;
+                                   const TaskRow& task,
+                                   absl::Time now) const;
+  // True when a victim's class would keep less than its floor.
+  bool IsBelowFloor(const State& state,
+                    const std::vector<std::string>& victims) const;
 
   PlacerOptions options;
   std::mt19937_64 random;
--- a/task/placer_internal.h
+++ b/task/placer_internal.h
@@ -66,24 +66,26 @@
   const auto quota = quotas.find(account);
   const Size use = state->UseOf(account);
   int looks = 0;
+  int skips = 0;
   for (const auto& [created, id] : queue->second) {
-    if (++looks > this->options.most_looks)
+    if (looks > this->options.most_looks || skips > this->options.most_skips)
       return false;
     const TaskRow& task = state->FindTask(id)->row;
     if (quota != quotas.end() && !Fits(use + task.size, quota->second)) {
-      explainer->Waits(task, StrCat("quota of ", account, " is used up"), now);
+      ++looks;
+      explainer->Waits(task, QuotaReason(task, quota->second), now);
       continue;
     }
     if (this->IsKnownTooLarge(task.size) &&
         !this->reservations.contains(task.id)) {
-      if (urgency == Urgency::kUrgent)
-        this->without_room.push_back(id);
+      ++skips;
+      this->NoteWithoutRoom(task);
       continue;
     }
+    ++looks;
     if (this->PlaceTask(scorer, *state, task, now, plan, explainer))
       return true;
-    if (urgency == Urgency::kUrgent)
-      this->without_room.push_back(id);
+    this->NoteWithoutRoom(state->FindTask(id)->row);
   }
   return false;
 }
