Test that a suspicion is answered with the later heartbeat

The test over the whole fleet passes without the answer, since regular digests and the next heartbeat refute a suspicion too. This one fails without it.

membership_test: 28 tests pass.

--- a/membership/testing/view_test.cc
+++ b/membership/testing/view_test.cc
@@ -82,6 +82,22 @@
   EXPECT_GT(suspicions, 0);
 }
 
+// Guards against leaving the refutation to chance: the entry that holds a later
+// heartbeat answers a suspicion at once.
+TEST(View, SuspicionIsAnsweredWithLaterHeartbeat) {
+  Fleet fleet = TwoRegions();
+  View& view = fleet.entries.at("erie-2").view;
+  const Fleet::Agent& agent = fleet.agents["erie-x"];
+  Digest digest;
+  digest.sender = fleet.entries.at("erie-1").view.NextSelfBrief();
+  digest.briefs = {MakeBrief(agent.member, agent.sequence - 1)};
+  digest.briefs[0].state = MemberState::kSuspect;
+  const std::vector<Digest> replies = view.HearDigest(digest, fleet.now);
+  ASSERT_EQ(replies.size(), 1U);
+  EXPECT_EQ(replies[0].briefs,
+            std::vector<Brief>{MakeBrief(agent.member, agent.sequence)});
+}
+
 // Guards against an entry that was paused suspecting everybody it did not
 // hear meanwhile.
 TEST(View, OwnPauseCausesNoSuspicion) {
