--- a/base/testing/yaml_test.cc
+++ b/base/testing/yaml_test.cc
@@ -35,16 +35,19 @@
   EXPECT_EQ(problems[4].code, YamlError::kMissingKey);
 }
 
-// Guards against an exception of yaml-cpp for a mapping that is absent.
-TEST(YamlTest, AbsentMappingIsEmpty) {
+// Guards against an exception of yaml-cpp for a section that is absent or not a
+// mapping.
+TEST(YamlTest, AbsentAndWrongSectionsReadAsEmpty) {
   std::vector<YamlProblem> problems;
-  const auto node = ParseYaml("a: 1\n", "s.yaml", &problems);
+  const auto node = ParseYaml("a: 1\nb: [1]\n", "s.yaml", &problems);
   YamlMap map(node.value(), "s.yaml", &problems);
-  YamlMap absent = map.Map("b");
-  EXPECT_EQ(absent.Int("c", 3, 0, 10), 3);
-  EXPECT_FALSE(absent.Has("c"));
-  absent.Finish();
-  EXPECT_TRUE(problems.empty());
+  for (const char* key : {"a", "b", "c"}) {
+    YamlMap section = map.Map(key);
+    EXPECT_EQ(section.Int("x", 7, 0, 10), 7);
+    section.Finish();
+  }
+  EXPECT_EQ(map.String("a", ""), "1");
+  EXPECT_EQ(problems.size(), 2u);
 }
 
 TEST(YamlTest, SyntaxErrorIsAProblemWithALine) {
--- a/base/yaml.cc
+++ b/base/yaml.cc
@@ -95,16 +95,15 @@
 YamlMap::YamlMap(const YAML::Node& node,
                  std::string file,
                  std::vector<YamlProblem>* problems)
-    // An undefined node throws on any use.
     : node(node.IsDefined() ? node : YAML::Node()),
       file(std::move(file)),
       problems(problems) {
-  if (!node.IsDefined() || node.IsNull())
+  if (this->node.IsNull())
     return;
   if (!node.IsMap()) {
     this->problems->push_back(
         {YamlError::kNotAMap, this->file, LineOf(node), "", ""});
-    // An assignment would change the node in the text's tree.
+    // Assignment would change the document that this node is a part of.
     this->node.reset(YAML::Node());
     return;
   }
