--- a/config/testing/store_test.cc
+++ b/config/testing/store_test.cc
@@ -2,9 +2,7 @@
 
 #include <gtest/gtest.h>
 
-#include "platform/http_table.h"
 #include "platform/memory_table.h"
-#include "testing/support/faulty_store.h"
 
 namespace cuminjunction {
 namespace {
