--- a/request/testing/entry_test.cc
+++ b/request/testing/entry_test.cc
@@ -8,11 +8,12 @@
 namespace cuminjunction {
 namespace {
 
-std::future<CallerAnswer> CallLater(const PathHarness& path,
-                                    const std::string& method,
-                                    const std::string& where,
-                                    const std::string& body = "",
-                                    std::vector<std::string> headers = {}) {
+std::future<CallerAnswer> CallLater(
+    const PathHarness& path,
+    const std::string& method,
+    const std::string& where,
+    const std::string& body = "",
+    const std::vector<std::string>& headers = {}) {
   return std::async(std::launch::async, [=, &path] {
     return path.Call(method, where, body, headers);
   });
@@ -43,6 +44,7 @@
   PathHarness path;
   ASSERT_TRUE(path.Connect({agent.Listen()}));
   std::vector<std::future<CallerAnswer>> calls;
+  calls.reserve(8);
   for (int i = 0; i < 8; ++i)
     calls.push_back(CallLater(path, "GET", StrCat("/", i)));
   const std::vector<Submit> submits = agent.Wait<Submit>(8);
--- a/request/testing/path_test.cc
+++ b/request/testing/path_test.cc
@@ -53,6 +53,7 @@
   path.AddAgent(upstream.Port());
   ASSERT_TRUE(path.Connect());
   std::vector<std::future<bool>> calls;
+  calls.reserve(4);
   for (int i = 0; i < 4; ++i) {
     calls.push_back(std::async(std::launch::async, [&path, i] {
       std::string body(kMaxBodyBytes - 1 - static_cast<size_t>(i) * 100'000,
@@ -98,6 +99,8 @@
   ASSERT_TRUE(path.Connect());
   std::vector<std::future<CallerAnswer>> orders;
   std::vector<std::future<CallerAnswer>> reads;
+  orders.reserve(4);
+  reads.reserve(4);
   for (int i = 0; i < 4; ++i) {
     orders.push_back(std::async(std::launch::async, [&path] {
       return path.Call("POST", "/order", "x");
@@ -122,6 +125,7 @@
 // outcomes.
 struct Load {
   explicit Load(const PathHarness& path) {
+    this->callers.reserve(6);
     for (int i = 0; i < 6; ++i) {
       this->callers.emplace_back([this, &path] {
         while (!this->ending) {
