--- a/request/testing/script_peer.h
+++ b/request/testing/script_peer.h
@@ -103,10 +103,12 @@
 
   bool RawClosed() {
     std::string buffer(4096, 0);
-    boost::system::error_code error;
-    while (!error)
+    this->raw->non_blocking(true);
+    return WaitUntil([&] {
+      boost::system::error_code error;
       this->raw->read_some(boost::asio::buffer(buffer), error);
-    return true;
+      return error && error != boost::asio::error::would_block;
+    });
   }
 
   // Breaks the connection as the end of the process does.
