--- a/bench/path_fleet.cc
+++ b/bench/path_fleet.cc
@@ -15,15 +15,17 @@
 namespace {
 
 // All in one region: the link between regions is the subject of other benches.
+// Exit code of the command-line tool for an invalid configuration.
+constexpr int kRejected = 3;
 constexpr const char* kHost = "127.0.0.1";
 constexpr const char* kRegion = "erie";
 constexpr const char* kDomains[] = {"erie-a", "erie-b"};
 
 constexpr const char* kConfig = R"(
 accounts:
-  - {name: growers}
-  - {name: gift-houses}
-  - {name: shops}
+  - {name: growers, quota: {cores: 0, memory_gib: 0, accelerators: 0}}
+  - {name: gift-houses, quota: {cores: 0, memory_gib: 0, accelerators: 0}}
+  - {name: shops, quota: {cores: 0, memory_gib: 0, accelerators: 0}}
 services:
   - {name: s, account: growers, upstream: runner, idempotent_methods: [GET]}
 )";
@@ -169,8 +171,11 @@
                      StrCat("http://", kHost, ":", this->ports[0].admin),
                      "--operator", "bench", "apply", path}))
       return false;
-    if (tool.Wait() && tool.ExitCode() == 0)
+    tool.Wait();
+    if (tool.ExitCode() == 0)
       return true;
+    if (tool.ExitCode() == kRejected)
+      return false;
   }
   return false;
 }
