--- a/bench/path_fleet.cc
+++ b/bench/path_fleet.cc
@@ -1,11 +1,14 @@
 #include "bench/path_fleet.h"
 
+#include <unistd.h>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 
 #include "absl/time/clock.h"
 #include "base/strings.h"
@@ -15,15 +18,17 @@
 namespace {
 
 // All in one region: the link between regions is the subject of other benches.
+// Exit code of the command-line tool for an invalid configuration.
+constexpr int kRejected = 3;
 constexpr const char* kHost = "127.0.0.1";
 constexpr const char* kRegion = "erie";
 constexpr const char* kDomains[] = {"erie-a", "erie-b"};
 
 constexpr const char* kConfig = R"(
 accounts:
-  - {name: growers}
-  - {name: gift-houses}
-  - {name: shops}
+  - {name: growers, quota: {cores: 0, memory_gib: 0, accelerators: 0}}
+  - {name: gift-houses, quota: {cores: 0, memory_gib: 0, accelerators: 0}}
+  - {name: shops, quota: {cores: 0, memory_gib: 0, accelerators: 0}}
 services:
   - {name: s, account: growers, upstream: runner, idempotent_methods: [GET]}
 )";
@@ -169,8 +174,11 @@
                      StrCat("http://", kHost, ":", this->ports[0].admin),
                      "--operator", "bench", "apply", path}))
       return false;
-    if (tool.Wait() && tool.ExitCode() == 0)
+    tool.Wait();
+    if (tool.ExitCode() == 0)
       return true;
+    if (tool.ExitCode() == kRejected)
+      return false;
   }
   return false;
 }
@@ -233,6 +241,16 @@
   return targets;
 }
 
+bool PathFleet::IsEntryReady(int i, HttpClient* client) const {
+  HttpRequest request;
+  request.method = "GET";
+  request.path = "/readyz";
+  const Result<HttpResponse> answer =
+      client->Send(StrCat("http://", kHost, ":", this->ports[At(i)].admin),
+                   request, absl::Now() + absl::Milliseconds(500));
+  return answer && answer.value().status == 200;
+}
+
 void PathFleet::PinEntry(int i, void (*pin)(pid_t thread)) const {
   const std::string tasks =
       StrCat("/proc/", this->entries[At(i)]->process.Pid(), "/task");
@@ -241,6 +259,23 @@
     pin(std::atoi(task.path().filename().c_str()));
 }
 
+double PathFleet::EntryProcessorSeconds(int i) const {
+  std::ifstream file(
+      StrCat("/proc/", this->entries[At(i)]->process.Pid(), "/stat"));
+  std::string text;
+  std::getline(file, text);
+  // The name in parentheses may contain spaces; user and system time are the
+  // 12th and 13th value after it.
+  std::istringstream values(text.substr(text.rfind(')') + 1));
+  std::string skipped;
+  for (int value = 0; value < 11; ++value)
+    values >> skipped;
+  double user = 0;
+  double system = 0;
+  values >> user >> system;
+  return (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
 std::vector<Execution> PathFleet::Executions() const {
   std::vector<Execution> executions;
   for (size_t i = 0; i < this->upstreams.size(); ++i) {
