--- a/daemon/agent_process.cc
+++ b/daemon/agent_process.cc
@@ -78,7 +78,7 @@
   EventThread request_thread{"requests"};
   FairAgentQueue* queue = nullptr;
   std::unique_ptr<AgentServer> server;
-  uint16_t request_port = 0;
+  ListenSettings bound;
 
   std::unique_ptr<WorkerTask> worker;
   std::unique_ptr<HttpServer> admin;
@@ -135,7 +135,7 @@
       std::make_unique<AgentServer>(&this->request_thread, options,
                                     std::move(fair), this->log, &this->metrics);
   BOOST_OUTCOME_TRY(port, this->server->Start());
-  this->request_port = port;
+  this->bound.agent_port = port;
   return Ok();
 }
 
@@ -158,7 +158,7 @@
   self.incarnation = this->incarnation;
   self.host = this->settings.listen.host;
   self.port = this->settings.listen.membership_port;
-  self.tcp_port = this->request_port;
+  self.tcp_port = this->bound.agent_port;
   self.peer_port = peer_port;
   self.failure_domain = this->settings.failure_domain;
   self.region = this->settings.region;
@@ -174,6 +174,7 @@
     return this->net.Listen(this->settings.listen.host,
                             this->settings.listen.peer_port);
   }));
+  this->bound.peer_port = peer_port;
   ConfigNodeOptions options;
   options.name = this->settings.name;
   options.join_deadline = SteadyClock().Now() + kJoinTime;
@@ -198,10 +199,12 @@
       std::move(listener), &this->metrics);
   this->state_timer =
       std::make_unique<boost::asio::steady_timer>(this->control.Context());
-  return this->control.Call([this] {
+  return this->control.Call([this]() -> Status {
     this->config->Start();
     this->AnnounceUpstreamState();
-    return this->heartbeat->Open();
+    BOOST_OUTCOME_TRYV(this->heartbeat->Open());
+    this->bound.membership_port = this->heartbeat->Self().port;
+    return Ok();
   });
 }
 
@@ -226,9 +229,10 @@
         return HttpResponse{404, "text/plain", "not found\n", {}};
       }));
   this->admin = std::move(started);
+  this->bound.admin_port = this->admin->Port();
   this->log->Write(LogLine("agent_started")
                        .Add("name", this->settings.name)
-                       .Add("request_port", int{this->request_port})
+                       .Add("request_port", int{this->bound.agent_port})
                        .Add("admin_port", int{this->admin->Port()}));
   return Ok();
 }
@@ -314,6 +318,10 @@
   return std::unique_ptr<AgentProcess>(new AgentProcess(std::move(impl)));
 }
 
+const ListenSettings& AgentProcess::Listening() const {
+  return this->impl->bound;
+}
+
 void AgentProcess::Shutdown() {
   Impl* self = this->impl.get();
   if (self->server) {
--- a/daemon/agent_process.h
+++ b/daemon/agent_process.h
@@ -29,6 +29,9 @@
   // on this VM adopts them.
   void Shutdown();
 
+  // The ports that the process listens on.
+  const ListenSettings& Listening() const;
+
  private:
   struct Impl;
   explicit AgentProcess(std::unique_ptr<Impl> impl);
--- a/daemon/entry_process.cc
+++ b/daemon/entry_process.cc
@@ -1,5 +1,6 @@
 #include "daemon/entry_process.h"
 
+#include <algorithm>
 #include <future>
 #include <utility>
 #include <vector>
@@ -100,7 +101,7 @@
 
   std::unique_ptr<ClaimsTask> claims;
   std::vector<Shard> shards;
-  uint16_t request_port = 0;
+  ListenSettings bound;
 
   EventThread control;
   PeerNet net;
@@ -172,7 +173,7 @@
 }
 
 Status EntryProcess::Impl::StartShards() {
-  this->request_port = this->settings.listen.request_port;
+  this->bound = this->settings.listen;
   ChooserPolicySettings policy;
   policy.chooser.failure_domain = this->settings.failure_domain;
   policy.chooser.region = this->settings.region;
@@ -183,14 +184,15 @@
     shard.thread = std::make_unique<EventThread>(StrCat("shard", number));
     shard.thread->Start();
     shard.front = std::make_unique<EntryFront>(
-        shard.thread.get(), this->MakeShardOptions(number, this->request_port),
+        shard.thread.get(),
+        this->MakeShardOptions(number, this->bound.request_port),
         this->request_chart.get(),
         std::make_unique<ChooserPolicy>(policy, this->incarnation + number),
         this->claims.get(), this->log, &this->metrics);
     this->shards.push_back(std::move(shard));
     // All shards listen on the port that the first one got.
     BOOST_OUTCOME_TRY(port, this->shards.back().front->Start());
-    this->request_port = port;
+    this->bound.request_port = port;
   }
   return Ok();
 }
@@ -201,6 +203,7 @@
     return this->net.Listen(this->settings.listen.host,
                             this->settings.listen.peer_port);
   }));
+  this->bound.peer_port = peer_port;
   ConfigNodeOptions config_options;
   config_options.name = this->settings.name;
   config_options.join_deadline = SteadyClock().Now() + kJoinTime;
@@ -234,9 +237,11 @@
       std::vector<EntryListener>{listener}, &this->metrics);
   this->survey =
       std::make_unique<VersionSurvey>(&this->net, this->gossip.get());
-  return this->control.Call([this] {
+  return this->control.Call([this]() -> Status {
     this->config->Start();
-    return this->gossip->Open();
+    BOOST_OUTCOME_TRYV(this->gossip->Open());
+    this->bound.membership_port = this->gossip->Self().port;
+    return Ok();
   });
 }
 
@@ -290,9 +295,10 @@
                       return HandleAdminRequest(*this->admin_services, r);
                     }));
   this->admin = std::move(started);
+  this->bound.admin_port = this->admin->Port();
   this->log->Write(LogLine("entry_started")
                        .Add("name", this->settings.name)
-                       .Add("request_port", int{this->request_port})
+                       .Add("request_port", int{this->bound.request_port})
                        .Add("admin_port", int{this->admin->Port()}));
   return Ok();
 }
@@ -335,7 +341,12 @@
 void EntryProcess::Impl::SpreadUpstreams() {
   std::vector<UpstreamInfo> infos;
   std::vector<UpstreamEndpoint> endpoints;
+  // The link is shared by the shards of all entries of this region.
+  int64_t sharers = 0;
   for (const Member& member : this->gossip->Members()) {
+    if (member.role == Role::kEntry && member.region == this->settings.region &&
+        IsEligible(member.state))
+      sharers += this->settings.shards;
     if (member.role != Role::kAgent || member.services.empty())
       continue;
     infos.push_back(ToUpstream(member));
@@ -345,8 +356,11 @@
   }
   for (const Shard& shard : this->shards) {
     shard.front->SetUpstreams(endpoints);
-    shard.front->WithPolicy([infos](RoutePolicy* policy) {
-      static_cast<ChooserPolicy*>(policy)->SetMembers(infos, absl::Now());
+    const int64_t rate = kLinkBytesPerSecond / std::max<int64_t>(1, sharers);
+    shard.front->WithPolicy([infos, rate](RoutePolicy* policy) {
+      auto* chooser = static_cast<ChooserPolicy*>(policy);
+      chooser->SetMembers(infos, absl::Now());
+      chooser->SetLinkRate(rate, absl::Now());
     });
   }
 }
@@ -383,6 +397,10 @@
   return std::unique_ptr<EntryProcess>(new EntryProcess(std::move(impl)));
 }
 
+const ListenSettings& EntryProcess::Listening() const {
+  return this->impl->bound;
+}
+
 void EntryProcess::Shutdown() {
   Impl* self = this->impl.get();
   self->serving = false;
--- a/daemon/entry_process.h
+++ b/daemon/entry_process.h
@@ -28,6 +28,9 @@
   // returns when the last request in flight has been answered.
   void Shutdown();
 
+  // The ports that the process listens on.
+  const ListenSettings& Listening() const;
+
  private:
   struct Impl;
   explicit EntryProcess(std::unique_ptr<Impl> impl);
--- a/request/chooser_policy.cc
+++ b/request/chooser_policy.cc
@@ -15,6 +15,10 @@
   this->chooser.SetUpstreams(members, now);
 }
 
+void ChooserPolicy::SetLinkRate(int64_t bytes_per_second, absl::Time now) {
+  this->link.SetRate(bytes_per_second, now);
+}
+
 void ChooserPolicy::SetUpstreams(
     const std::vector<UpstreamEndpoint>& /*upstreams*/) {}
 
--- a/request/chooser_policy.h
+++ b/request/chooser_policy.h
@@ -35,6 +35,9 @@
   // What membership knows of the upstreams.
   void SetMembers(const std::vector<UpstreamInfo>& members, absl::Time now);
 
+  // Changes this shard's part of the link between regions, in bytes a second.
+  void SetLinkRate(int64_t bytes_per_second, absl::Time now);
+
   // Endpoints are for connections; the chooser goes by SetMembers().
   void SetUpstreams(const std::vector<UpstreamEndpoint>& upstreams) override;
   bool Choose(const std::string& service,
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -124,7 +124,7 @@
             "name": name, "role": "agent", "region": region, "failure_domain": domain,
             "log": os.path.join(self.folder, name + ".jsonl"), "listen": {"host": HOST},
             "seeds": self.seeds(), "platform": {"table_url": self.platform},
-            "upstream": {"announces": [self.upstream], "url": f"http://{HOST}:{upstream_port}", "probe_path": "/healthz",
+            "upstream": {"announces": [self.upstream], "url": f"http://{HOST}:{upstream_port}", "probe_path": "/standin/health",
                          "slots": 8, "connections": 64},
             "worker": {"runtime_url": f"{self.platform}/worker/{name}", "rack": self.rack(index),
                        "size": {"cores": self.cores, "memory_gib": self.memory_gib}}})
