Repeat configuration notices until a peer tells the version

Change: ConfigNode::DueNotices names the peers to tell: all on a new version, which acknowledges their own notices, and those that stay behind again after 500 ms, doubled up to 8 s.

Checked by removing the repetition: NoticesAreRepeatedUntilThePeerTellsThe Version fails.

--- a/config/distribution.cc
+++ b/config/distribution.cc
@@ -26,6 +26,8 @@
   // Messages of one peer may arrive crossed.
   known.version = std::max(known.version, version);
   known.distance = distance;
+  if (known.told < this->state.Version())
+    this->next_notice = absl::InfinitePast();
 }
 
 void ConfigNode::OnPeerLost(const std::string& peer) {
@@ -91,6 +93,37 @@
                                {started.id, this->state.Version(), whole}};
 }
 
+bool ConfigNode::IsNoticeDue(Peer* peer, absl::Time now) const {
+  const uint64_t version = this->state.Version();
+  if (peer->told < version) {
+    peer->told = version;
+    peer->repeat_ms = kNoticeRepeatMs;
+  } else if (peer->version >= version || now < peer->repeat_at) {
+    return false;
+  } else {
+    peer->repeat_ms = std::min(2 * peer->repeat_ms, kMaxNoticeRepeatMs);
+  }
+  peer->repeat_at = now + absl::Milliseconds(peer->repeat_ms);
+  return true;
+}
+
+std::vector<std::string> ConfigNode::DueNotices(absl::Time now) {
+  std::vector<std::string> due;
+  const uint64_t version = this->state.Version();
+  if (version == 0 ||
+      (version == this->noticed_version && now < this->next_notice))
+    return due;
+  this->noticed_version = version;
+  this->next_notice = absl::InfiniteFuture();
+  for (auto& [name, peer] : this->peers) {
+    if (this->IsNoticeDue(&peer, now))
+      due.push_back(name);
+    if (peer.version < version)
+      this->next_notice = std::min(this->next_notice, peer.repeat_at);
+  }
+  return due;
+}
+
 std::vector<ConfigPart> ConfigNode::Answer(const ConfigRequest& request) {
   const bool is_known = !this->answer_bytes.empty() &&
                         this->answered.have == request.have &&
--- a/config/distribution.h
+++ b/config/distribution.h
@@ -37,9 +37,14 @@
 inline constexpr int64_t kConfigRequestTimeoutMs = 500;
 // Milliseconds for which a peer that did not answer is asked last.
 inline constexpr int64_t kPeerBlockedMs = 5000;
-
-// Tells a peer the version that the sender holds. Sent on each new version;
-// heartbeats carry the version too.
+// Milliseconds after which a notice is repeated to a peer that has not told the
+// version; doubled for each repetition up to the second figure.
+inline constexpr int64_t kNoticeRepeatMs = 500;
+inline constexpr int64_t kMaxNoticeRepeatMs = 8000;
+
+// Tells a peer the version that the sender holds; heartbeats carry the version
+// too. A node sends it to its peers on each new version, which acknowledges the
+// notices that it got itself, and again to those that stay behind.
 struct ConfigNotice {
   uint64_t version = 0;
 
@@ -125,6 +130,10 @@
   // on a timer.
   std::optional<OutgoingConfigRequest> Poll(absl::Time now);
 
+  // The peers to send a notice to now. To be called after each event and on a
+  // timer.
+  std::vector<std::string> DueNotices(absl::Time now);
+
   // The answer to a peer's request.
   std::vector<ConfigPart> Answer(const ConfigRequest& request);
 
@@ -146,6 +155,11 @@
     uint64_t version = 0;
     int distance = 0;
     absl::Time blocked_until = absl::InfinitePast();
+    // The version it was told last, when to repeat that, and the milliseconds
+    // until the repetition after.
+    uint64_t told = 0;
+    absl::Time repeat_at;
+    int64_t repeat_ms = kNoticeRepeatMs;
   };
   struct Transfer {
     std::string peer;
@@ -156,6 +170,7 @@
   };
 
   std::string ChoosePeer(absl::Time now) const;
+  bool IsNoticeDue(Peer* peer, absl::Time now) const;
   Result<bool> Finish(const Transfer& finished);
   void Block(const std::string& peer, absl::Time now);
   bool AcceptsPart(const ConfigPart& part) const;
@@ -165,6 +180,9 @@
   std::map<std::string, Peer> peers;
   std::optional<Transfer> transfer;
   uint64_t next_id = 1;
+  // No notice is due before this time unless the version changes.
+  absl::Time next_notice = absl::InfinitePast();
+  uint64_t noticed_version = 0;
   bool needs_whole = false;
   bool store_reached = false;
   bool ready = false;
--- a/config/testing/distribution_test.cc
+++ b/config/testing/distribution_test.cc
@@ -157,6 +157,29 @@
   EXPECT_NE(first, second);
 }
 
+// Guards against a peer that stays behind because one notice was lost, and
+// against notices without end to a peer that is dead.
+TEST(DistributionTest, NoticesAreRepeatedUntilThePeerTellsTheVersion) {
+  Truth truth;
+  truth.Change({{"job/a", "1"}}, {});
+  ConfigNode node = NodeAt("node", truth, 1);
+  node.OnPeerVersion("p1", 0, 0, At(0));
+  node.OnPeerVersion("p2", 0, 0, At(0));
+  EXPECT_EQ(node.DueNotices(At(0)).size(), 2u);
+  EXPECT_TRUE(node.DueNotices(At(kNoticeRepeatMs - 1)).empty());
+  node.OnPeerVersion("p1", 1, 0, At(100));
+  EXPECT_EQ(node.DueNotices(At(kNoticeRepeatMs)),
+            std::vector<std::string>{"p2"});
+  size_t repeated = 0;
+  for (int64_t ms = kNoticeRepeatMs; ms < 60000; ms += 100)
+    repeated += node.DueNotices(At(ms)).size();
+  EXPECT_LT(repeated, 12u);
+  // A version held when the peer is first heard is told as well.
+  node.OnPeerVersion("p3", 0, 0, At(60000));
+  const auto due = node.DueNotices(At(60000));
+  EXPECT_NE(std::find(due.begin(), due.end(), "p3"), due.end());
+}
+
 // Guards against a damaged transfer that is taken over in part, and against
 // asking for the same damage again.
 TEST(DistributionTest, DamagedDeltaChangesNothingAndLeadsToTheWhole) {
