Repeat configuration notices between processes until they are confirmed

Change: VersionNotice between peers with a reply; StoreReader::StartOver after a refused delta; expected peers from the seeds; readiness waits for the configuration; agents report a higher version with every acknowledgement until they run it.

--- a/daemon/agent_process.cc
+++ b/daemon/agent_process.cc
@@ -1,5 +1,6 @@
 #include "daemon/agent_process.h"
 
+#include <algorithm>
 #include <future>
 #include <utility>
 
@@ -177,13 +178,16 @@
   this->bound.peer_port = peer_port;
   ConfigNodeOptions options;
   options.name = this->settings.name;
+  options.expected_peers = static_cast<int>(
+      std::min(this->settings.seeds.size(), HeartbeatOptions().contacts));
   options.join_deadline = SteadyClock().Now() + kJoinTime;
   this->config = std::make_unique<ConfigTask>(
       &this->control, &this->net, options,
       [this](uint64_t version, std::shared_ptr<const Document> document) {
         this->OnDocument(version, document);
       },
-      this->log);
+      /*start_over=*/std::function<void()>(), this->log);
+  this->config->SetSelf({this->settings.listen.host, peer_port});
   AgentListener listener;
   listener.thread = &this->control;
   listener.on_entries = [this](const std::vector<EntryContact>& entries) {
@@ -247,6 +251,8 @@
     this->config->OnRequest(*request, reply);
   } else if (const auto* part = std::get_if<ConfigPart>(&message)) {
     this->config->OnPart(*part);
+  } else if (const auto* notice = std::get_if<VersionNotice>(&message)) {
+    this->config->OnNotice(*notice, reply);
   } else if (std::holds_alternative<WorkerNudge>(message)) {
     if (this->worker)
       this->worker->Nudge();
--- a/daemon/config_task.cc
+++ b/daemon/config_task.cc
@@ -17,10 +17,13 @@
                        PeerNet* net,
                        const ConfigNodeOptions& options,
                        DocumentListener listener,
+                       std::function<void()> start_over,
                        Log* log)
     : net(net),
       node(options),
+      name(options.name),
       listener(std::move(listener)),
+      start_over(std::move(start_over)),
       log(log),
       timer(thread->Context()) {}
 
@@ -56,6 +59,28 @@
   this->addresses.erase(peer);
 }
 
+void ConfigTask::OnNotice(const VersionNotice& notice, const PeerReply& reply) {
+  // The distance of a peer that is not known otherwise does not matter.
+  constexpr int unknown_distance = 2;
+  this->OnPeerVersion(notice.name, {notice.host, notice.port}, notice.version,
+                      unknown_distance);
+  if (notice.wants_reply)
+    reply(this->MakeNotice(/*wants_reply=*/false));
+}
+
+VersionNotice ConfigTask::MakeNotice(bool wants_reply) const {
+  return {this->name, this->self_address.host, this->self_address.port,
+          this->Version(), wants_reply};
+}
+
+void ConfigTask::SendNotices() {
+  for (const std::string& peer : this->node.DueNotices(this->clock.Now())) {
+    const auto found = this->addresses.find(peer);
+    if (found != this->addresses.end())
+      this->net->Send(found->second, this->MakeNotice(/*wants_reply=*/true));
+  }
+}
+
 void ConfigTask::OnRequest(const ConfigRequest& request,
                            const PeerReply& reply) {
   for (const ConfigPart& part : this->node.Answer(request))
@@ -69,7 +94,11 @@
 }
 
 void ConfigTask::OnStoreDelta(const Delta& delta) {
-  this->TakeResult(this->node.OnStoreDelta(delta), "store");
+  const Result<bool> applied = this->node.OnStoreDelta(delta);
+  this->TakeResult(applied, "store");
+  if (!applied && this->start_over)
+    this->start_over();
+  this->Poll();
 }
 
 void ConfigTask::OnStoreUnchanged() {
@@ -77,6 +106,7 @@
 }
 
 void ConfigTask::Poll() {
+  this->SendNotices();
   const auto out = this->node.Poll(this->clock.Now());
   if (!out)
     return;
--- a/daemon/config_task.h
+++ b/daemon/config_task.h
@@ -3,7 +3,7 @@
 
 // Keeps a process's configuration current: drives a ConfigNode over PeerNet.
 //
-//   ConfigTask config(&thread, &net, options, on_document, &log);
+//   ConfigTask config(&thread, &net, options, on_document, {}, &log);
 //   thread.Post([&] { config.Start(); });
 //   ...
 //   config.OnPeerVersion("entry-1", endpoint, 17, 1);
@@ -32,11 +32,14 @@
 
 class ConfigTask {
  public:
-  // `thread`, `net` and `log` must outlive this object.
+  // `thread`, `net` and `log` must outlive this object. `start_over` is called
+  // when a delta of the store could not be taken over, after which the store
+  // must be read from its beginning; it may be empty.
   ConfigTask(EventThread* thread,
              PeerNet* net,
              const ConfigNodeOptions& options,
              DocumentListener listener,
+             std::function<void()> start_over,
              Log* log);
 
   void Start();
@@ -49,7 +52,11 @@
                      int distance);
   void OnPeerLost(const std::string& peer);
 
+  // Where peers reach this process, for notices.
+  void SetSelf(const Endpoint& address) { this->self_address = address; }
+
   // A message of the network.
+  void OnNotice(const VersionNotice& notice, const PeerReply& reply);
   void OnRequest(const ConfigRequest& request, const PeerReply& reply);
   void OnPart(const ConfigPart& part);
 
@@ -63,12 +70,17 @@
 
  private:
   void Poll();
+  void SendNotices();
+  VersionNotice MakeNotice(bool wants_reply) const;
   void ScheduleTick();
   void TakeResult(const Result<bool>& applied, std::string_view source);
 
   PeerNet* net;
   ConfigNode node;
+  std::string name;
+  Endpoint self_address;
   DocumentListener listener;
+  std::function<void()> start_over;
   Log* log;
   SteadyClock clock;
   boost::asio::steady_timer timer;
--- a/daemon/entry_admin.cc
+++ b/daemon/entry_admin.cc
@@ -385,7 +385,9 @@
 }
 
 bool EntryAdmin::IsReady() {
-  return this->parts.serving->load();
+  return this->parts.serving->load() && this->parts.control->Call([this] {
+    return this->parts.config->IsReady();
+  });
 }
 
 }  // namespace cuminjunction
--- a/daemon/entry_process.cc
+++ b/daemon/entry_process.cc
@@ -205,14 +205,21 @@
   }));
   this->bound.peer_port = peer_port;
   ConfigNodeOptions config_options;
+  config_options.expected_peers = 0;
   config_options.name = this->settings.name;
+  for (const Endpoint& seed : this->settings.seeds) {
+    if (seed.port != this->settings.listen.membership_port ||
+        seed.host != this->settings.listen.host)
+      ++config_options.expected_peers;
+  }
   config_options.join_deadline = SteadyClock().Now() + kJoinTime;
   this->config = std::make_unique<ConfigTask>(
       &this->control, &this->net, config_options,
       [this](uint64_t version, std::shared_ptr<const Document> document) {
         this->OnDocument(version, document);
       },
-      this->log);
+      [this] { this->store_reader->StartOver(); }, this->log);
+  this->config->SetSelf({this->settings.listen.host, peer_port});
   GossipOptions options;
   options.self.name = this->settings.name;
   options.self.role = Role::kEntry;
@@ -309,6 +316,8 @@
     this->config->OnRequest(*request, reply);
   else if (const auto* part = std::get_if<ConfigPart>(&message))
     this->config->OnPart(*part);
+  else if (const auto* notice = std::get_if<VersionNotice>(&message))
+    this->config->OnNotice(*notice, reply);
   else if (std::holds_alternative<VersionsRequest>(message))
     reply(this->survey->Answer());
   else if (const auto* versions = std::get_if<VersionsReply>(&message))
@@ -316,8 +325,10 @@
 }
 
 void EntryProcess::Impl::NoticeVersion(uint64_t version, const Member& entry) {
+  const uint16_t port =
+      entry.role == Role::kEntry ? entry.tcp_port : entry.peer_port;
   this->config->OnPeerVersion(
-      entry.name, {entry.host, entry.tcp_port}, version,
+      entry.name, {entry.host, port}, version,
       DistanceBetween(this->settings, entry.failure_domain, entry.region));
 }
 
@@ -328,11 +339,12 @@
                          .Add("member", member.name)
                          .Add("state", StateName(member.state))
                          .Add("incarnation", member.incarnation));
-    if (member.role != Role::kEntry || member.name == this->settings.name)
+    if (member.name == this->settings.name)
       continue;
+    // An agent is told of new versions by the entries that it heartbeats to.
     if (HasEnded(member.state))
       this->config->OnPeerLost(member.name);
-    else
+    else if (member.role == Role::kEntry || change.first_hand)
       this->NoticeVersion(member.config_version, member);
   }
   this->SpreadUpstreams();
--- a/daemon/peer_net.h
+++ b/daemon/peer_net.h
@@ -67,6 +67,25 @@
   }
 };
 
+// Tells the version that the sender holds and where to ask it. Repeated until
+// the receiver has told the same version, since a notice may be lost.
+struct VersionNotice {
+  std::string name;
+  std::string host;
+  uint16_t port = 0;
+  uint64_t version = 0;
+  // The receiver answers with a notice of its own.
+  bool wants_reply = false;
+
+  auto operator<=>(const VersionNotice&) const = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->name, this->host, this->port, this->version,
+            this->wants_reply);
+  }
+};
+
 // Between entries: asks which configuration version the agents run that
 // heartbeat to the receiver.
 struct VersionsRequest {
@@ -104,7 +123,8 @@
                                  WorkerNudge,
                                  DrainNotice,
                                  VersionsRequest,
-                                 VersionsReply>;
+                                 VersionsReply,
+                                 VersionNotice>;
 
 // The payload of a frame: a tag byte and the message.
 std::string EncodePeerMessage(const PeerMessage& message);
--- a/membership/agent_heartbeat.cc
+++ b/membership/agent_heartbeat.cc
@@ -128,7 +128,8 @@
 
 void AgentHeartbeat::HearConfigVersion(uint64_t version,
                                        const UdpAddress& from) {
-  if (version <= this->newest_config_version)
+  // Told again until this process runs it: the entry asked first may fail.
+  if (version <= this->self.config_version)
     return;
   const std::vector<EntryContact> known = this->Candidates();
   const auto entry = std::find_if(
@@ -137,7 +138,6 @@
   // The TCP port of a seed is known with the entry list only.
   if (entry == known.end() || entry->tcp_port == 0)
     return;
-  this->newest_config_version = version;
   if (this->listener.on_config_version)
     this->listener.thread->Post([notify = this->listener.on_config_version,
                                  version,
--- a/membership/agent_heartbeat.h
+++ b/membership/agent_heartbeat.h
@@ -38,7 +38,7 @@
 // `thread`; either may be empty.
 struct AgentListener {
   EventThread* thread = nullptr;
-  // An entry has a configuration version above all that were told before.
+  // An entry has a configuration version above that of this process.
   std::function<void(uint64_t version, EntryContact entry)> on_config_version;
   // The list of entries changed.
   std::function<void(std::vector<EntryContact> entries)> on_entries;
@@ -117,7 +117,6 @@
   boost::asio::steady_timer beat_timer;
   boost::asio::steady_timer leave_timer;
   uint64_t sequence = 0;
-  uint64_t newest_config_version = 0;
   std::map<UdpAddress, Contact> contacts;
   std::vector<EntryContact> entries;
   // A list that came after the first takes effect with the next beat: while two
--- a/tools/demo_run.py
+++ b/tools/demo_run.py
@@ -10,7 +10,7 @@
 # Requests of each deployment: a service's flows at a load its upstreams hold.
 FLOWS = {
     "lakeshore": ["service=slot-check,account=growers,urgency=urgent,rate=300,timeout_ms=250,method=GET",
-                  "service=gift-orders,account=gift-houses,urgency=normal,rate=20,timeout_ms=1000,method=POST"],
+                  "service=gift-order,account=gift-houses,urgency=normal,rate=20,timeout_ms=1000,method=POST"],
     "vardnica": ["service=word-check,account=scrabble-league,urgency=urgent,rate=300,timeout_ms=250,method=GET",
                  "service=anagram-search,account=puzzle-apps,urgency=normal,rate=50,timeout_ms=1000,method=GET"],
 }
