Follow the settings of the daemon in the bench fleet

objects_url is no key any more, so no daemon of the fleet started. The benches now say when the fleet does not start.

--- a/bench/drain_bench.cc
+++ b/bench/drain_bench.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <cstdio>
 #include <string>
 #include <thread>
 
@@ -21,8 +22,10 @@
 int RunBench(uint64_t seed) {
   FigurePrinter printer("drain");
   PathFleet fleet({.upstreams = 3, .entries = 2, .service_us = kServiceUs});
-  if (!fleet.Start())
+  if (!fleet.Start()) {
+    std::fprintf(stderr, "drain: the fleet did not start\n");
     return 1;
+  }
   LoadSettings load;
   load.seed = seed;
   load.targets = fleet.EntryTargets();
--- a/bench/kill_bench.cc
+++ b/bench/kill_bench.cc
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <cstdio>
 #include <functional>
 #include <set>
 #include <string>
@@ -147,8 +148,10 @@
 int RunBench(uint64_t seed) {
   FigurePrinter printer("kill");
   PathFleet fleet({.upstreams = 4, .entries = 2});
-  if (!fleet.Start())
+  if (!fleet.Start()) {
+    std::fprintf(stderr, "kill: the fleet did not start\n");
     return 1;
+  }
   LoadSettings load = MakeLoad(fleet, seed, "planned");
   // Here a broken connection counts even if the caller would send again.
   load.flows[kReads].resends = 0;
--- a/bench/path_bench.cc
+++ b/bench/path_bench.cc
@@ -4,6 +4,7 @@
 
 #include <sched.h>
 
+#include <cstdio>
 #include <string>
 
 #include "base/strings.h"
@@ -100,8 +101,10 @@
 
 int RunBench(uint64_t seed) {
   FigurePrinter printer("path");
-  if (!CompareLatency(seed, &printer) || !MeasureThroughput(seed, &printer))
+  if (!CompareLatency(seed, &printer) || !MeasureThroughput(seed, &printer)) {
+    std::fprintf(stderr, "path: the fleet did not start\n");
     return 1;
+  }
   return printer.ExitCode();
 }
 
--- a/bench/path_fleet.cc
+++ b/bench/path_fleet.cc
@@ -120,7 +120,6 @@
   settings["failure_domain"] = DomainOf(i);
   settings["listen"]["host"] = kHost;
   settings["platform"]["table_url"] = this->platform_url;
-  settings["platform"]["objects_url"] = this->platform_url;
   settings["charts"] = CUMINJUNCTION_SOURCE_DIR "/charts";
   settings["log"] = this->settings.log_decisions
                         ? StrCat(this->folder, "/", name, ".jsonl")
