--- a/task/testing/fake_runtime.h
+++ b/task/testing/fake_runtime.h
@@ -103,7 +103,11 @@
     const auto found = this->running.find(task);
     if (found != this->running.end() && found->second.start.attempt == attempt)
       this->End(task, AttemptEnd::kStopped);
-    return Ok();
+    const bool is_known = std::any_of(
+        this->ended.begin(), this->ended.end(), [&](const EndedTask& one) {
+          return one.task == task && one.attempt == attempt;
+        });
+    return is_known ? Ok() : Status(RuntimeError::kNotFound);
   }
 
   Result<std::string> Checkpoint(const std::string& task, uint32_t attempt) {
--- a/task/testing/worker_agent_test.cc
+++ b/task/testing/worker_agent_test.cc
@@ -198,6 +198,20 @@
   EXPECT_EQ(this->Worker().row.Committed(), Size());
 }
 
+// Guards against a cancelled attempt that never started and keeps its capacity
+// for ever, since the runtime does not know it.
+TEST_F(WorkerAgentTest, CancelledBeforeTheStartIsReleased) {
+  this->TickAfter(absl::Seconds(1));
+  this->Assign("task", TaskKind::kBatch);
+  this->Commit([&](Batch* batch) {
+    const WorkerEntry worker = this->Worker();
+    return Cancel(this->Task("task"), &worker, "test", batch);
+  });
+  this->TickAfter(absl::Seconds(1));
+  EXPECT_EQ(this->Worker().row.Committed(), Size());
+  EXPECT_TRUE(this->runtime.Executions().empty());
+}
+
 // Guards against assignments that wait for a nudge that was lost, and against
 // a throttle that is not passed on.
 TEST_F(WorkerAgentTest, PollsWithoutANudgeAndThrottles) {
--- a/task/worker_agent.h
+++ b/task/worker_agent.h
@@ -29,7 +29,6 @@
 #include <cmath>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -41,6 +40,7 @@
 #include "platform/table.h"
 #include "task/lease.h"
 #include "task/transitions.h"
+#include "task/worker_agent_internal.h"
 #include "task/worker_agent_options.h"
 
 namespace cuminjunction {
@@ -88,11 +88,8 @@
     }
     this->nudged = false;
     this->next_poll = now + this->options.poll_every;
-    if (!this->EnsureRegistered(state.value()) || !this->RenewIfDue()) {
-      this->Retry(now);
-      return;
-    }
-    if (!this->CarryOut(state.value()))
+    if (!this->EnsureRegistered(state.value()) || !this->RenewIfDue() ||
+        !this->CarryOut(state.value()))
       this->Retry(now);
   }
 
@@ -256,7 +253,8 @@
     done = this->Report(state) && done;
     const std::vector<Assignment> assignments = this->worker.row.assignments;
     for (const Assignment& assignment : assignments) {
-      if (assignment.epoch != this->epoch || this->HasEnded(state, assignment))
+      if (assignment.epoch != this->epoch ||
+          worker_agent_internal::HasEnded(state, assignment))
         continue;
       const auto found = running.find(assignment.task);
       const RunningTask* task =
@@ -268,15 +266,6 @@
     return done;
   }
 
-  static bool HasEnded(const RuntimeState& state,
-                       const Assignment& assignment) {
-    return std::any_of(state.ended.begin(), state.ended.end(),
-                       [&](const EndedTask& ended) {
-                         return ended.task == assignment.task &&
-                                ended.attempt == assignment.attempt;
-                       });
-  }
-
   // `task` is null when the attempt does not run.
   bool CarryOut(const Assignment& assignment, const RunningTask* task) {
     switch (assignment.action) {
@@ -308,12 +297,15 @@
     const Status started = this->runtime->Start(start);
     if (!started)
       this->LogError("start-failed", started.error());
+    if (!started && started.error() == RuntimeError::kUnknownOutcome)
+      this->unsure_starts[{start.task, start.attempt}] = this->steady->Now();
     return static_cast<bool>(started);
   }
 
   bool SetShare(const Assignment& assignment, const RunningTask& task) {
     const double share = assignment.share_percent / 100.0;
-    if (std::abs(task.throttle - share) < kShareTolerance)
+    if (std::abs(task.throttle - share) <
+        worker_agent_internal::kShareTolerance)
       return true;
     return static_cast<bool>(
         this->runtime->Throttle(task.task, task.attempt, share));
@@ -336,9 +328,21 @@
     return this->StopAndReport(assignment);
   }
 
+  // True while a start whose reply was lost may still take effect. Its end must
+  // not be reported before.
+  bool MayStartLate(const Assignment& assignment) const {
+    const auto found =
+        this->unsure_starts.find({assignment.task, assignment.attempt});
+    return found != this->unsure_starts.end() &&
+           this->steady->Now() < found->second + this->options.late_start;
+  }
+
   // Stops an attempt and reports its end once it is gone.
   bool StopAndReport(const Assignment& assignment) {
-    if (!this->runtime->Stop(assignment.task, assignment.attempt))
+    const Status stopped =
+        this->runtime->Stop(assignment.task, assignment.attempt);
+    if (!stopped && (stopped.error() != RuntimeError::kNotFound ||
+                     this->MayStartLate(assignment)))
       return false;
     const Result<RuntimeState> state = this->runtime->List();
     if (!state || state.value().boot_id != this->boot_id)
@@ -426,6 +430,7 @@
   void ForgetEnded(const EndedTask& ended) {
     this->checkpoints.erase({ended.task, ended.attempt});
     this->checkpoint_failures.erase({ended.task, ended.attempt});
+    this->unsure_starts.erase({ended.task, ended.attempt});
     // What the runtime still lists is forgotten at the next tick.
     (void)this->runtime->Forget(ended.task, ended.attempt);
   }
@@ -460,9 +465,6 @@
 
   using AttemptKey = std::pair<std::string, uint32_t>;
 
-  // Below one percent, the unit of shares in rows.
-  static constexpr double kShareTolerance = 0.005;
-
   WorkerAgentOptions options;
   const TaskCharts* charts;
   T* table;
@@ -486,6 +488,8 @@
   // Checkpoints of evicted attempts whose end is not reported yet.
   std::map<AttemptKey, std::string> checkpoints;
   std::map<AttemptKey, int> checkpoint_failures;
+  // Starts with an unknown outcome.
+  std::map<AttemptKey, absl::Time> unsure_starts;
 };
 
 }  // namespace cuminjunction
--- /dev/null
+++ b/task/worker_agent_internal.h
@@ -0,0 +1,27 @@
+#ifndef TASK_WORKER_AGENT_INTERNAL_H_
+#define TASK_WORKER_AGENT_INTERNAL_H_
+
+// Helpers of task/worker_agent.h.
+
+#include <algorithm>
+
+#include "platform/runtime.h"
+#include "task/row.h"
+
+namespace cuminjunction::worker_agent_internal {
+
+// Below one percent, the unit of shares in rows.
+inline constexpr double kShareTolerance = 0.005;
+
+// True when the runtime lists the assigned attempt as ended.
+inline bool HasEnded(const RuntimeState& state, const Assignment& assignment) {
+  return std::any_of(state.ended.begin(), state.ended.end(),
+                     [&](const EndedTask& ended) {
+                       return ended.task == assignment.task &&
+                              ended.attempt == assignment.attempt;
+                     });
+}
+
+}  // namespace cuminjunction::worker_agent_internal
+
+#endif  // TASK_WORKER_AGENT_INTERNAL_H_
--- a/task/worker_agent_options.h
+++ b/task/worker_agent_options.h
@@ -27,6 +27,8 @@
   absl::Duration list_every = absl::Seconds(1);
   // The wait after a failed call of table or runtime.
   absl::Duration retry_after = absl::Seconds(2);
+  // How long a start with an unknown outcome may still take effect.
+  absl::Duration late_start = absl::Seconds(30);
   // How often an eviction asks for a checkpoint before it stops without one.
   int checkpoint_tries = 3;
 };
