--- a/models/task.pml
+++ b/models/task.pml
@@ -117,7 +117,7 @@
 #endif
 
 #ifdef NO_ATTEMPT_CHECK
-#define REPORT_IS_CURRENT(w) (state != starting || report[w] != 0)
+#define REPORT_IS_CURRENT(w) true
 #else
 #define REPORT_IS_CURRENT(w) (report[w] == attempt)
 #endif
