--- a/request/testing/path_harness.h
+++ b/request/testing/path_harness.h
@@ -72,8 +72,12 @@
           for (char& c : name)
             c = static_cast<char>(std::tolower(c));
           const size_t end = line.find('\r');
-          (*static_cast<std::map<std::string, std::string>*>(out))[name] =
-              line.substr(colon + 2, end - colon - 2);
+          // A header that comes twice shows both values.
+          std::string& value =
+              (*static_cast<std::map<std::string, std::string>*>(out))[name];
+          if (!value.empty())
+            value += ", ";
+          value += line.substr(colon + 2, end - colon - 2);
         }
         return size * count;
       });
