Let operators resume jobs, retry tasks and readmit workers

Cause: a stop could not be taken back, a drained worker stayed empty and a parked task stayed parked unless someone called the library; `stop` cancelled the tasks present, which the planner then made anew.

--- a/admin/api.cc
+++ b/admin/api.cc
@@ -17,7 +17,7 @@
   AdminOperation operation;
 };
 
-constexpr std::array<Route, 15> kRoutes = {{
+constexpr std::array<Route, 18> kRoutes = {{
     {"PUT", "/v1/config", AdminOperation::kApplyConfig},
     {"POST", "/v1/config/validate", AdminOperation::kValidateConfig},
     {"POST", "/v1/config/diff", AdminOperation::kDiffConfig},
@@ -26,7 +26,10 @@
     {"GET", "/v1/status", AdminOperation::kGetStatus},
     {"GET", "/v1/jobs", AdminOperation::kGetJobs},
     {"POST", "/v1/jobs/*/stop", AdminOperation::kStopJob},
+    {"POST", "/v1/jobs/*/resume", AdminOperation::kResumeJob},
     {"POST", "/v1/tasks/*/cancel", AdminOperation::kCancelTask},
+    {"POST", "/v1/tasks/*/retry", AdminOperation::kRetryTask},
+    {"POST", "/v1/workers/*/readmit", AdminOperation::kReadmitWorker},
     {"POST", "/v1/drain/*/*", AdminOperation::kDrain},
     {"GET", "/v1/explain/task/*", AdminOperation::kExplainTask},
     {"GET", "/v1/explain/request/*", AdminOperation::kExplainRequest},
--- a/admin/api.h
+++ b/admin/api.h
@@ -41,7 +41,13 @@
   { services.GetStatus() } -> std::same_as<AdminReply>;
   { services.GetJobs() } -> std::same_as<AdminReply>;
   { services.StopJob(text) } -> std::same_as<AdminReply>;
+  // Takes the stop of a job back.
+  { services.ResumeJob(text) } -> std::same_as<AdminReply>;
   { services.CancelTask(text) } -> std::same_as<AdminReply>;
+  // Tries a parked task again.
+  { services.RetryTask(text) } -> std::same_as<AdminReply>;
+  // Gives work to a drained or suspect worker again.
+  { services.ReadmitWorker(text) } -> std::same_as<AdminReply>;
   // Drains an "upstream", a "worker" or a "rack" of that name.
   { services.Drain(text, text) } -> std::same_as<AdminReply>;
   { services.ExplainTask(text) } -> std::same_as<AdminReply>;
@@ -60,7 +66,10 @@
   kGetStatus,
   kGetJobs,
   kStopJob,
+  kResumeJob,
   kCancelTask,
+  kRetryTask,
+  kReadmitWorker,
   kDrain,
   kExplainTask,
   kExplainRequest,
@@ -133,8 +142,14 @@
       return ToHttp(services.GetJobs());
     case AdminOperation::kStopJob:
       return ToHttp(services.StopJob(arguments[0]));
+    case AdminOperation::kResumeJob:
+      return ToHttp(services.ResumeJob(arguments[0]));
     case AdminOperation::kCancelTask:
       return ToHttp(services.CancelTask(arguments[0]));
+    case AdminOperation::kRetryTask:
+      return ToHttp(services.RetryTask(arguments[0]));
+    case AdminOperation::kReadmitWorker:
+      return ToHttp(services.ReadmitWorker(arguments[0]));
     case AdminOperation::kDrain:
       return ToHttp(services.Drain(arguments[0], arguments[1]));
     case AdminOperation::kExplainTask:
--- a/admin/testing/api_test.cc
+++ b/admin/testing/api_test.cc
@@ -26,7 +26,16 @@
   AdminReply StopJob(const std::string& name) {
     return nlohmann::json{{"stopped", name}};
   }
+  AdminReply ResumeJob(const std::string& name) {
+    return nlohmann::json{{"resumed", name}};
+  }
   AdminReply CancelTask(const std::string&) { return nlohmann::json(); }
+  AdminReply RetryTask(const std::string& id) {
+    return nlohmann::json{{"retried", id}};
+  }
+  AdminReply ReadmitWorker(const std::string& name) {
+    return nlohmann::json{{"readmitted", name}};
+  }
   AdminReply Drain(const std::string& kind, const std::string& name) {
     return nlohmann::json{{kind, name}};
   }
@@ -46,6 +55,10 @@
             "{\"stopped\":\"a/b\"}\n");
   EXPECT_EQ(Handle({"POST", "/v1/drain/rack/r1", {}, {}, ""}).body,
             "{\"rack\":\"r1\"}\n");
+  EXPECT_EQ(Handle({"POST", "/v1/tasks/a.1.0/retry", {}, {}, ""}).body,
+            "{\"retried\":\"a.1.0\"}\n");
+  EXPECT_EQ(Handle({"POST", "/v1/workers/w1/readmit", {}, {}, ""}).body,
+            "{\"readmitted\":\"w1\"}\n");
 }
 
 TEST(AdminApiTest, PassesBaseAndOperator) {
--- a/cli/command.cc
+++ b/cli/command.cc
@@ -26,7 +26,7 @@
   std::string_view help;
 };
 
-constexpr std::array<CommandInfo, 11> kCommands = {{
+constexpr std::array<CommandInfo, 14> kCommands = {{
     {"apply", CommandKind::kApply, 1, "apply FILE [--base VERSION]",
      "Checks a configuration document and puts it in force. The document must "
      "be based on\nthe present version: the one given with --base, else the "
@@ -45,8 +45,16 @@
     {"jobs", CommandKind::kJobs, 0, "jobs",
      "Lists jobs and services with their tasks by state."},
     {"stop", CommandKind::kStop, 1, "stop JOB",
-     "Stops all tasks of a job. Its section in the document stays."},
-    {"cancel", CommandKind::kCancel, 1, "cancel TASK", "Cancels one task."},
+     "Stops a job: its tasks are checkpointed and parked. Its section in the "
+     "document stays."},
+    {"resume", CommandKind::kResume, 1, "resume JOB",
+     "Takes the stop of a job back."},
+    {"cancel", CommandKind::kCancel, 1, "cancel TASK",
+     "Cancels one task for good."},
+    {"retry", CommandKind::kRetry, 1, "retry TASK",
+     "Tries a parked task again."},
+    {"readmit", CommandKind::kReadmit, 1, "readmit WORKER",
+     "Gives work to a drained or suspect worker again."},
     {"drain", CommandKind::kDrain, 2, "drain upstream|worker|rack NAME",
      "Lets work in flight end and gives no new work. Tasks of a worker are "
      "checkpointed and\nresume elsewhere."},
--- a/cli/print.cc
+++ b/cli/print.cc
@@ -86,6 +86,17 @@
   return text.empty() ? "no change\n" : text;
 }
 
+// A problem of a document as compilers print theirs, or any other detail.
+std::string DetailText(const Json& detail) {
+  if (!detail.is_object() || !detail.contains("line"))
+    return Cell(detail);
+  const std::string hint = Cell(Field(detail, "hint"));
+  return StrCat(Cell(Field(detail, "file")), ":", Cell(Field(detail, "line")),
+                ": ", Cell(Field(detail, "key")), ": ",
+                Cell(Field(detail, "problem")),
+                hint.empty() ? "" : StrCat(" (", hint, ")"));
+}
+
 }  // namespace
 
 std::string ToColumns(const std::vector<std::vector<std::string>>& rows) {
@@ -135,7 +146,7 @@
   const Json details = Field(error, "details");
   if (details.is_array()) {
     for (const Json& item : details)
-      StrAppend(&text, "  ", Cell(item), "\n");
+      StrAppend(&text, "  ", DetailText(item), "\n");
   } else if (details.is_object()) {
     text += Fields(details, "  ");
   }
--- a/cli/run.cc
+++ b/cli/run.cc
@@ -104,6 +104,10 @@
       {"PUT", "/v1/config", {{"base", std::to_string(*base)}}, {}, document});
 }
 
+Json Post(const std::string& path, Session* session) {
+  return session->Send({"POST", path, {}, {}, ""});
+}
+
 // A task id holds a '/' or is known as a task; a request id is "HEX-NUMBER".
 Json Explain(const std::string& name, Session* session) {
   const bool is_request =
@@ -130,26 +134,24 @@
     case CommandKind::kJobs:
       return session->Send({"GET", "/v1/jobs", {}, {}, ""});
     case CommandKind::kStop:
-      return session->Send(
-          {"POST",
-           StrCat("/v1/jobs/", UrlEncode(arguments[0]), "/stop"),
-           {},
-           {},
-           ""});
+      return Post(StrCat("/v1/jobs/", UrlEncode(arguments[0]), "/stop"),
+                  session);
+    case CommandKind::kResume:
+      return Post(StrCat("/v1/jobs/", UrlEncode(arguments[0]), "/resume"),
+                  session);
     case CommandKind::kCancel:
-      return session->Send(
-          {"POST",
-           StrCat("/v1/tasks/", UrlEncode(arguments[0]), "/cancel"),
-           {},
-           {},
-           ""});
+      return Post(StrCat("/v1/tasks/", UrlEncode(arguments[0]), "/cancel"),
+                  session);
+    case CommandKind::kRetry:
+      return Post(StrCat("/v1/tasks/", UrlEncode(arguments[0]), "/retry"),
+                  session);
+    case CommandKind::kReadmit:
+      return Post(StrCat("/v1/workers/", UrlEncode(arguments[0]), "/readmit"),
+                  session);
     case CommandKind::kDrain:
-      return session->Send({"POST",
-                            StrCat("/v1/drain/", UrlEncode(arguments[0]), "/",
-                                   UrlEncode(arguments[1])),
-                            {},
-                            {},
-                            ""});
+      return Post(StrCat("/v1/drain/", UrlEncode(arguments[0]), "/",
+                         UrlEncode(arguments[1])),
+                  session);
     case CommandKind::kExplain:
       return Explain(arguments[0], session);
     case CommandKind::kConfigHistory:
--- a/cli/testing/command_test.cc
+++ b/cli/testing/command_test.cc
@@ -61,8 +61,12 @@
 
 TEST(PrintTest, ErrorsListEachProblem) {
   const auto error = nlohmann::json::parse(
-      R"({"code":"rejected","message":"bad","details":[{"line":3}]})");
-  EXPECT_EQ(ErrorToText(error), "cuminjunction: bad (rejected)\n  line=3\n");
+      R"({"code":"rejected","message":"bad","details":[
+          {"file":"f","line":3,"key":"quota","problem":"too big","hint":"x"},
+          {"file":"f","line":4,"key":"k","problem":"unknown","hint":""}]})");
+  EXPECT_EQ(ErrorToText(error),
+            "cuminjunction: bad (rejected)\n  f:3: quota: too big (x)\n"
+            "  f:4: k: unknown\n");
 }
 
 }  // namespace
--- a/daemon/entry_admin.cc
+++ b/daemon/entry_admin.cc
@@ -276,23 +276,20 @@
   return Json{{"jobs", jobs}};
 }
 
-AdminReply EntryAdmin::StopJob(const std::string& name) {
-  const auto tasks = this->Tasks();
-  if (!tasks)
-    return FailureOf(tasks.error());
-  std::vector<std::string> ids;
-  for (const TaskRow& task : tasks.value()) {
-    if (task.owner == name)
-      ids.push_back(task.id);
-  }
-  if (ids.empty())
-    return AdminFailure{AdminError::kNotFound, {{"job", name}}};
+AdminReply EntryAdmin::SetStopped(const std::string& name, bool stopped) {
   absl::MutexLock lock(&this->mutex);
-  const auto stopped =
-      this->operations.CancelTasks(ids, "stopped by an operator");
-  if (!stopped)
-    return FailureOf(stopped.error());
-  return Json{{"job", name}, {"stopped", stopped.value()}};
+  const Status done = this->operations.SetStopped(name, stopped);
+  if (!done)
+    return FailureOf(done.error());
+  return Json{{"job", name}, {"stopped", stopped}};
+}
+
+AdminReply EntryAdmin::StopJob(const std::string& name) {
+  return this->SetStopped(name, true);
+}
+
+AdminReply EntryAdmin::ResumeJob(const std::string& name) {
+  return this->SetStopped(name, false);
 }
 
 AdminReply EntryAdmin::CancelTask(const std::string& id) {
@@ -304,6 +301,22 @@
   return Json{{"task", id}, {"cancelled", true}};
 }
 
+AdminReply EntryAdmin::RetryTask(const std::string& id) {
+  absl::MutexLock lock(&this->mutex);
+  const Status retried = this->operations.RetryTask(id);
+  if (!retried)
+    return FailureOf(retried.error());
+  return Json{{"task", id}, {"retried", true}};
+}
+
+AdminReply EntryAdmin::ReadmitWorker(const std::string& name) {
+  absl::MutexLock lock(&this->mutex);
+  const Status readmitted = this->operations.ReadmitWorker(name);
+  if (!readmitted)
+    return FailureOf(readmitted.error());
+  return Json{{"worker", name}, {"readmitted", true}};
+}
+
 AdminReply EntryAdmin::DrainUpstream(const std::string& name) {
   const bool known = this->parts.control->Call([&] {
     for (const Member& member : this->parts.gossip->Members()) {
--- a/daemon/entry_admin.h
+++ b/daemon/entry_admin.h
@@ -66,7 +66,10 @@
   AdminReply GetStatus();
   AdminReply GetJobs();
   AdminReply StopJob(const std::string& name);
+  AdminReply ResumeJob(const std::string& name);
   AdminReply CancelTask(const std::string& id);
+  AdminReply RetryTask(const std::string& id);
+  AdminReply ReadmitWorker(const std::string& name);
   AdminReply Drain(const std::string& kind, const std::string& name);
   AdminReply ExplainTask(const std::string& id);
   AdminReply ExplainRequest(const std::string& id);
@@ -79,6 +82,7 @@
   Fleet ReadFleet() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
   Result<std::vector<TaskRow>> ReadTasks() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
   Result<std::vector<TaskRow>> Tasks();
+  AdminReply SetStopped(const std::string& name, bool stopped);
   AdminReply DrainUpstream(const std::string& name);
   std::optional<Explanation> ExplainFromRow(const std::string& id);
 
