--- a/testing/support/replay.h
+++ b/testing/support/replay.h
@@ -70,7 +70,9 @@
 // The members of an outcome. A type of its own, since nearly everything
 // converts to JSON, error codes too.
 struct TraceOutcome {
+  // Implicit, so that a step can return JSON or an error.
   template <std::same_as<nlohmann::json> J>
+  // NOLINTNEXTLINE(google-explicit-constructor)
   TraceOutcome(J members) : members(std::move(members)) {}
 
   nlohmann::json members;
--- a/testing/support/replay_request.cc
+++ b/testing/support/replay_request.cc
@@ -14,6 +14,7 @@
 #include <random>
 #include <utility>
 
+#include "absl/container/flat_hash_map.h"
 #include "base/strings.h"
 #include "request/attempts.h"
 #include "request/chooser.h"
@@ -261,7 +262,7 @@
   std::map<uint64_t, RequestAttempts> requests;
   FairQueue queue{QueueSettings{.slots = kSlots}};
   Tombstones tombstones;
-  std::map<AttemptId, RequestClass> classes;
+  absl::flat_hash_map<AttemptId, RequestClass> classes;
   std::optional<UpstreamChooser> chooser;
   std::map<std::string, std::string> places;
   std::mt19937_64 random{1};
--- a/testing/support/replay_task.cc
+++ b/testing/support/replay_task.cc
@@ -222,7 +222,7 @@
   }
 
   const TaskCharts charts = LoadCharts();
-  const LeasePolicy policy;
+  const LeasePolicy policy = {};
   ReplayTable table;
   LeaseObserver observer{LeasePolicy()};
   std::map<std::string, Transaction> held;
