Answer nothing to a cancellation of an attempt that may be forgotten

Cause: the model of request attempts, with unbounded crossing, violated "not run" claims: after an id had expired, an agent answered a late CancelAttempt with Refused even if the attempt had run. Change: past the deadline and the clock margin the agent says nothing, and the entry keeps the outcome unknown. Conclusion: P5 no longer rests on the order of frames of one connection there.

--- a/request/agent_server.cc
+++ b/request/agent_server.cc
@@ -131,6 +131,9 @@
     return;
   }
   const absl::Time deadline = DeadlineOf(cancel.deadline_us, now);
+  // The id may have been forgotten by now, so nothing is certain about it.
+  if (now > deadline + kClockSkew)
+    return;
   // An id that was admitted and is gone has had its answer.
   if (this->tombstones.Admit(cancel.id, deadline, now) !=
       Tombstones::Verdict::kDuplicate) {
--- a/request/testing/agent_test.cc
+++ b/request/testing/agent_test.cc
@@ -85,6 +85,22 @@
   EXPECT_EQ(fixture.upstream.Count(), 0);
 }
 
+// Guards against calling an attempt refused that ran and was forgotten since
+// (P5). Found by the model of request attempts.
+TEST(AgentTest, CancelOfAForgottenAttemptIsNotRefused) {
+  AgentFixture fixture([](const ScriptRequest&) { return Reply("ran"); });
+  ScriptPeer entry("entry");
+  entry.Connect(fixture.Port(), kEntry);
+  const Submit ran = SubmitOf(1, "POST", absl::Milliseconds(200));
+  entry.Send(ran);
+  entry.Wait<AnswerHead>(1);
+  absl::SleepFor(FromMicros(ran.deadline_us) + 2 * kClockSkew - absl::Now());
+  entry.Send(CancelAttempt{ran.id, ran.deadline_us});
+  const Submit other = SubmitOf(2);
+  entry.Send(CancelAttempt{other.id, other.deadline_us});
+  EXPECT_EQ(entry.Wait<Refused>(1)[0].id, other.id);
+}
+
 // Guards against an attempt starting after it was refused for its deadline
 // while it waited (P5).
 TEST(AgentTest, RefusedWhileQueuedNeverStarts) {
