--- a/bench/faulty_bench.cc
+++ b/bench/faulty_bench.cc
@@ -64,11 +64,8 @@
                 &this->charts,
                 std::move(scorer),
                 nullptr),
-        loop(Loop(),
-             &this->planner,
-             &this->table,
-             &this->clock,
-             &this->clock) {}
+        loop(Loop(), &this->planner, &this->table, &this->clock, &this->clock) {
+  }
 
   FaultyResult Run() {
     const absl::Time begin = this->clock.Now();
--- a/bench/virtual_fleet.cc
+++ b/bench/virtual_fleet.cc
@@ -59,6 +59,18 @@
   this->Commit(batch);
 }
 
+void VirtualFleet::AddPlaced(const TaskRow& task, int worker) {
+  this->AddTask(task);
+  const std::string& id = this->ids[static_cast<size_t>(worker)];
+  const Row task_row = this->table->Read(TaskKey(task.id)).value();
+  const Row worker_row = this->table->Read(WorkerKey(id)).value();
+  Batch batch = this->NewBatch();
+  (void)Place({ParseTask(task_row).value(), task_row.version},
+              {ParseWorker(worker_row).value(), worker_row.version},
+              this->clock->Now(), PlaceMode::kNormal, &batch);
+  this->Commit(batch);
+}
+
 void VirtualFleet::Step(absl::Duration step) {
   this->Renew(step);
   this->FollowRows();
--- a/bench/virtual_fleet.h
+++ b/bench/virtual_fleet.h
@@ -58,6 +58,9 @@
   // Creates a task's row.
   void AddTask(const TaskRow& task);
 
+  // Creates a task's row that the worker with this number holds already.
+  void AddPlaced(const TaskRow& task, int worker);
+
   // Does what is due after `step` has passed.
   void Step(absl::Duration step);
 
--- a/task/planner.h
+++ b/task/planner.h
@@ -15,8 +15,9 @@
 //   2. expands changed jobs and services and updates what depends on them,
 //   3. parks tasks that no worker can ever hold, and retries them when one can,
 //   4. blames workers as the scorer says,
-//   5. empties workers that are being drained,
-//   6. places waiting tasks, evicting for urgent ones within the budget.
+//   5. throttles and evicts for services, when the scorer asks for it,
+//   6. empties workers that are being drained,
+//   7. places waiting tasks, evicting for urgent ones within the budget.
 
 #include <cstdint>
 #include <map>
@@ -28,6 +29,7 @@
 #include "base/log.h"
 #include "task/expand.h"
 #include "task/explain.h"
+#include "task/guard.h"
 #include "task/lease.h"
 #include "task/placer.h"
 #include "task/plan.h"
@@ -58,6 +60,13 @@
   size_t most_rows = 80;
 };
 
+// A scorer that also asks for throttles and evictions.
+template <class S>
+concept RelievingScorer = Scorer<S> &&
+    requires(S& scorer, const State& state, absl::Time now) {
+  { scorer.Relieve(state, now) } -> std::same_as<std::vector<GuardAction>>;
+};
+
 template <Scorer S>
 class Planner {
  public:
@@ -110,6 +119,8 @@
     }
     this->BlameWorkers(now, &plan);
     if (input.may_place) {
+      if constexpr (RelievingScorer<S>)
+        this->RelieveServices(now, &plan);
       this->EmptyDraining(now, &plan);
       const RoundLimits limits = {input.most_rows, !input.complete};
       this->placer.Run(&this->scorer, &this->state, this->quotas, limits, now,
@@ -224,6 +235,20 @@
     }
   }
 
+  // A refused action is asked for again with a later report.
+  void RelieveServices(absl::Time now, Plan* plan) {
+    for (const GuardAction& action : this->scorer.Relieve(this->state, now)) {
+      const TaskEntry* entry = this->state.FindTask(action.task);
+      if (entry == nullptr || !entry->row.IsPlaced())
+        continue;
+      const TaskRow task = entry->row;
+      if (action.kind == GuardAction::Kind::kThrottle)
+        (void)plan->Throttle(task.id, action.share_percent);
+      else if (plan->Evict(task.id, action.reason))
+        this->explainer.Evicted(task, action.reason, now);
+    }
+  }
+
   // Checkpoints exclusive tasks of draining workers. Replicas are replaced by
   // the expansion, which starts their replacements first.
   void EmptyDraining(absl::Time now, Plan* plan) {
