--- a/bench/interference_bench.cc
+++ b/bench/interference_bench.cc
@@ -179,9 +179,9 @@
   }
 
   VirtualRun Behave(const TaskRow& task) {
-    constexpr double kForever = 1e12;
+    constexpr double forever = 1e12;
     if (task.kind == TaskKind::kReplica)
-      return {kForever, false};
+      return {forever, false};
     return {this->seconds_of[task.id], false};
   }
 
--- a/bench/place_bench.cc
+++ b/bench/place_bench.cc
@@ -10,6 +10,7 @@
 
 #include "bench/figure.h"
 #include "bench/fleet.h"
+#include "task/learned_scorer.h"
 #include "task/planner_loop.h"
 
 namespace cuminjunction {
@@ -56,7 +57,10 @@
               &this->rows,
               &this->table,
               &this->clock),
-        planner(MakePlanner(), &this->charts, BestFitScorer(), nullptr),
+        planner(MakePlanner(),
+                &this->charts,
+                LearnedScorer(LearnedOptions()),
+                nullptr),
         loop(MakeLoop(),
              &this->planner,
              &this->table,
@@ -235,8 +239,8 @@
   MemoryTable rows;
   PacedTable table{&this->rows, &this->clock};
   Fleet fleet;
-  Planner<BestFitScorer> planner;
-  PlannerLoop<PacedTable, BestFitScorer, ManualClock, ManualClock> loop;
+  Planner<LearnedScorer> planner;
+  PlannerLoop<PacedTable, LearnedScorer, ManualClock, ManualClock> loop;
   FigurePrinter printer{"place"};
   absl::Time next_tick = absl::InfinitePast();
   double planner_seconds = 0;
--- a/daemon/agent_process.cc
+++ b/daemon/agent_process.cc
@@ -183,7 +183,8 @@
   options.join_deadline = SteadyClock().Now() + kJoinTime;
   this->config = std::make_unique<ConfigTask>(
       &this->control, &this->net, options,
-      [this](uint64_t version, std::shared_ptr<const Document> document) {
+      [this](uint64_t version,
+             const std::shared_ptr<const Document>& document) {
         this->OnDocument(version, document);
       },
       /*start_over=*/std::function<void()>(), this->log);
--- a/daemon/entry_process.cc
+++ b/daemon/entry_process.cc
@@ -154,7 +154,7 @@
   this->member_chart = std::move(member);
   BOOST_OUTCOME_TRY(request, LoadChart(directory + "/request.yaml", &problems));
   BOOST_OUTCOME_TRY(checked, RequestChart::Compile(request));
-  this->request_chart = std::make_unique<RequestChart>(std::move(checked));
+  this->request_chart = std::make_unique<RequestChart>(checked);
   return Ok();
 }
 
@@ -215,7 +215,8 @@
   config_options.join_deadline = SteadyClock().Now() + kJoinTime;
   this->config = std::make_unique<ConfigTask>(
       &this->control, &this->net, config_options,
-      [this](uint64_t version, std::shared_ptr<const Document> document) {
+      [this](uint64_t version,
+             const std::shared_ptr<const Document>& document) {
         this->OnDocument(version, document);
       },
       [this] { this->store_reader->StartOver(); }, this->log);
--- a/daemon/peer_net.h
+++ b/daemon/peer_net.h
@@ -47,7 +47,7 @@
 struct WorkerNudge {
   std::string worker;
 
-  auto operator<=>(const WorkerNudge&) const = default;
+  bool operator==(const WorkerNudge&) const = default;
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -59,7 +59,7 @@
 struct DrainNotice {
   std::string upstream;
 
-  auto operator<=>(const DrainNotice&) const = default;
+  bool operator==(const DrainNotice&) const = default;
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -77,7 +77,7 @@
   // The receiver answers with a notice of its own.
   bool wants_reply = false;
 
-  auto operator<=>(const VersionNotice&) const = default;
+  bool operator==(const VersionNotice&) const = default;
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -89,7 +89,7 @@
 // Between entries: asks which configuration version the agents run that
 // heartbeat to the receiver.
 struct VersionsRequest {
-  auto operator<=>(const VersionsRequest&) const = default;
+  bool operator==(const VersionsRequest&) const = default;
 
   template <class Archive>
   void serialize(Archive& /*archive*/) {}
@@ -99,7 +99,7 @@
   std::string name;
   uint64_t version = 0;
 
-  auto operator<=>(const NodeVersion&) const = default;
+  bool operator==(const NodeVersion&) const = default;
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -110,7 +110,7 @@
 struct VersionsReply {
   std::vector<NodeVersion> nodes;
 
-  auto operator<=>(const VersionsReply&) const = default;
+  bool operator==(const VersionsReply&) const = default;
 
   template <class Archive>
   void serialize(Archive& archive) {
--- a/daemon/planner_task.cc
+++ b/daemon/planner_task.cc
@@ -28,11 +28,14 @@
 PlannerTask::PlannerTask(const Settings& settings,
                          const std::string& process,
                          const TaskCharts* charts,
-                         NudgeListener nudge,
+                         const NudgeListener& nudge,
                          Log* log,
                          Metrics* metrics)
     : table(settings.platform.table_url, settings.platform.timeout_ms),
-      planner(MakePlannerOptions(process), charts, BestFitScorer(), log),
+      planner(MakePlannerOptions(process),
+              charts,
+              LearnedScorer(LearnedOptions()),
+              log),
       loop(MakeLoopOptions(settings, process),
            &this->planner,
            &this->table,
@@ -44,7 +47,7 @@
       waiting(metrics->GetGauge("planner_waiting_tasks")),
       thread("planner"),
       timer(this->thread.Context()) {
-  this->loop.SetNudge(std::move(nudge));
+  this->loop.SetNudge(nudge);
   this->thread.Start();
   this->thread.Post([this] { this->Tick(); });
 }
@@ -78,7 +81,7 @@
                               std::shared_ptr<const Document> document) {
   this->thread.Post([this, version, document = std::move(document)] {
     this->planner.SetDocument(version, *document);
-    this->planner.GetScorer()->SetAccounts(document->accounts);
+    this->planner.GetScorer()->SetDocument(*document);
   });
 }
 
--- a/daemon/planner_task.h
+++ b/daemon/planner_task.h
@@ -19,6 +19,7 @@
 #include "base/time.h"
 #include "daemon/settings.h"
 #include "platform/http_table.h"
+#include "task/learned_scorer.h"
 #include "task/planner_loop.h"
 
 namespace cuminjunction {
@@ -33,7 +34,7 @@
   PlannerTask(const Settings& settings,
               const std::string& process,
               const TaskCharts* charts,
-              NudgeListener nudge,
+              const NudgeListener& nudge,
               Log* log,
               Metrics* metrics);
   ~PlannerTask();
@@ -53,7 +54,7 @@
   std::optional<std::vector<TaskRow>> Tasks();
 
  private:
-  using Loop = PlannerLoop<HttpTable, BestFitScorer, SteadyClock, SystemClock>;
+  using Loop = PlannerLoop<HttpTable, LearnedScorer, SteadyClock, SystemClock>;
 
   void ScheduleTick();
   void Tick();
@@ -61,7 +62,7 @@
   HttpTable table;
   SteadyClock steady;
   SystemClock wall;
-  Planner<BestFitScorer> planner;
+  Planner<LearnedScorer> planner;
   Loop loop;
   Summary& round_seconds;
   Gauge& leading;
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "base/error.h"
@@ -23,7 +24,10 @@
   std::string host;
   uint16_t port = 0;
 
-  auto operator<=>(const Endpoint&) const = default;
+  bool operator==(const Endpoint&) const = default;
+  bool operator<(const Endpoint& other) const {
+    return std::tie(this->host, this->port) < std::tie(other.host, other.port);
+  }
 };
 
 // Reads "HOST:PORT". Fails with YamlError::kBadValue.
@@ -44,7 +48,7 @@
   // Configuration and notices between processes, TCP (both roles).
   uint16_t peer_port = 0;
 
-  auto operator<=>(const ListenSettings&) const = default;
+  bool operator==(const ListenSettings&) const = default;
 };
 
 // The platform's table service.
@@ -53,7 +57,7 @@
   // Time to wait for an answer, in milliseconds.
   int64_t timeout_ms = 2000;
 
-  auto operator<=>(const PlatformSettings&) const = default;
+  bool operator==(const PlatformSettings&) const = default;
 };
 
 // The upstream beside an agent.
@@ -65,7 +69,7 @@
   int64_t slots = 8;
   int64_t connections = 64;
 
-  auto operator<=>(const UpstreamSettings&) const = default;
+  bool operator==(const UpstreamSettings&) const = default;
 };
 
 // The worker on an agent's VM.
@@ -78,7 +82,7 @@
   int64_t lease_s = 600;
   int64_t renewal_s = 20;
 
-  auto operator<=>(const WorkerSettings&) const = default;
+  bool operator==(const WorkerSettings&) const = default;
 };
 
 struct Settings {
--- a/task/interference.cc
+++ b/task/interference.cc
@@ -16,6 +16,7 @@
 
 double LowTail(const std::vector<TailSample>& samples) {
   std::vector<double> tails;
+  tails.reserve(samples.size());
   for (const TailSample& sample : samples)
     tails.push_back(sample.tail_ms);
   const auto low =
@@ -186,8 +187,8 @@
   std::erase_if(this->services,
                 [&](const auto& item) { return item.second.updated < oldest; });
   std::erase_if(this->classes, [](const auto& item) {
-    constexpr double kNothing = 1e-6;
-    return item.second.weight < kNothing;
+    constexpr double nothing = 1e-6;
+    return item.second.weight < nothing;
   });
 }
 
--- a/task/testing/guard_test.cc
+++ b/task/testing/guard_test.cc
@@ -16,12 +16,14 @@
 // which one adds much. Time passes by one report at each call.
 class GuardTest : public testing::Test {
  protected:
-  std::vector<GuardAction> Report(double tail_ms, double baseline_ms = 20) {
+  std::vector<GuardAction> Report(double tail_ms,
+                                  double baseline_ms = 20,
+                                  double usual_ms = 20) {
     this->now += absl::Seconds(10);
     GuardView view;
     view.worker = "w";
     view.at = this->now - absl::Seconds(30);
-    view.services = {{"s", tail_ms, 40, baseline_ms, 20}};
+    view.services = {{"s", tail_ms, 40, baseline_ms, usual_ms}};
     const double adds = 1.0 * this->share / 100;
     view.neighbours = {{"good", "good", true, 100, 10, {0.01}},
                        {"old", "bad", true, this->share, 900, {adds}},
@@ -82,6 +84,9 @@
   this->FillBudget();
   for (int i = 0; i < 60; ++i)
     EXPECT_TRUE(this->Report(120, 115).empty());
+  // As long as the load lasts, too.
+  for (int i = 0; i < 60; ++i)
+    EXPECT_TRUE(this->Report(120, 115, 115).empty());
   // With some interference that the target allows for at the usual load.
   for (int i = 0; i < 60; ++i)
     EXPECT_TRUE(this->Report(90, 60).empty());
