--- a/base/time.cc
+++ b/base/time.cc
@@ -1,5 +1,7 @@
 #include "base/time.h"
 
+#include <ctime>
+
 #include <chrono>
 
 namespace cuminjunction {
@@ -9,4 +11,10 @@
          absl::FromChrono(std::chrono::steady_clock::now().time_since_epoch());
 }
 
+absl::Time BootClock::Now() const {
+  timespec time = {};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return absl::TimeFromTimespec(time);
+}
+
 }  // namespace cuminjunction
--- a/base/time.h
+++ b/base/time.h
@@ -33,6 +33,14 @@
   absl::Time Now() const;
 };
 
+// A clock that never jumps and also counts the time for which the VM was
+// suspended. Leases and grants are measured on it: a process that was suspended
+// must see that they have passed.
+class BootClock {
+ public:
+  absl::Time Now() const;
+};
+
 // A clock that a test sets by hand.
 class ManualClock {
  public:
--- a/bench/config_operators.cc
+++ b/bench/config_operators.cc
@@ -54,15 +54,15 @@
     return;
   const int operators = this->Draw() < this->options.race_share ? 2 : 1;
   for (int i = 0; i < operators; ++i) {
-    Submission submission = {this->Edit(document->second), base,
-                             StrCat("operator-", i), ""};
+    DocumentChange submission = {this->Edit(document->second), base,
+                                 StrCat("operator-", i), ""};
     submission.change_id = StrCat("change-", ++this->submitted);
     this->SubmitChange(std::move(submission),
                        (entry + i) % this->options.entries);
   }
 }
 
-void ConfigWorld::SubmitChange(Submission submission, int entry) {
+void ConfigWorld::SubmitChange(DocumentChange submission, int entry) {
   if (!this->places[entry].is_up)
     return;
   this->documents_by_id[submission.change_id] = submission.document;
@@ -86,9 +86,9 @@
 
 // Asks again about changes whose outcome was open.
 void ConfigWorld::SettleOpen() {
-  std::vector<Submission> open = std::move(this->open);
+  std::vector<DocumentChange> open = std::move(this->open);
   this->open.clear();
-  for (Submission& submission : open) {
+  for (DocumentChange& submission : open) {
     this->table.SetNow(this->now);
     ConfigStore<FaultyTable> store(&this->table);
     Change other;
--- a/bench/config_world.h
+++ b/bench/config_world.h
@@ -143,7 +143,7 @@
   Document MakeDocument() const;
   Document Edit(const Document& document);
   void MakeChange();
-  void SubmitChange(Submission submission, int entry);
+  void SubmitChange(DocumentChange submission, int entry);
   void SettleOpen();
   void NoteHead();
   void NoteReady(int place);
@@ -165,7 +165,7 @@
   std::map<uint64_t, Document> documents;
   std::map<uint64_t, std::string> ids;
   std::map<uint64_t, uint64_t> digests;
-  std::vector<Submission> open;
+  std::vector<DocumentChange> open;
   std::map<uint64_t, absl::Time> accepted_at;
   std::map<uint64_t, absl::Time> in_force_at;
   uint64_t in_force = 0;
--- a/config/store.cc
+++ b/config/store.cc
@@ -52,7 +52,7 @@
 
 Change MakeChange(uint64_t version,
                   const SectionDiff& diff,
-                  const Submission& submission,
+                  const DocumentChange& submission,
                   absl::Time now) {
   Change change;
   change.version = version;
@@ -76,7 +76,7 @@
 Transaction MakeTransaction(const ConfigState& state,
                             uint64_t head_table_version,
                             const SectionDiff& diff,
-                            const Submission& submission,
+                            const DocumentChange& submission,
                             absl::Time now) {
   const uint64_t version = state.Version() + 1;
   const Change change = MakeChange(version, diff, submission, now);
--- a/config/store.h
+++ b/config/store.h
@@ -42,7 +42,7 @@
 };
 
 // A document that an operator submits. It must have been checked.
-struct Submission {
+struct DocumentChange {
   Document document;
   // The version it is based on; 0 for the first one.
   uint64_t base = 0;
@@ -75,7 +75,7 @@
 Transaction MakeTransaction(const ConfigState& state,
                             uint64_t head_table_version,
                             const SectionDiff& diff,
-                            const Submission& submission,
+                            const DocumentChange& submission,
                             absl::Time now);
 
 }  // namespace config_internal
@@ -132,7 +132,7 @@
   // already, which `other` then describes; with kUnavailable, when the change
   // certainly has no effect; with kUnknownOutcome, when Settle() must tell
   // later.
-  Result<uint64_t> Accept(const Submission& submission,
+  Result<uint64_t> Accept(const DocumentChange& submission,
                           absl::Time now,
                           Change* other) {
     if (!this->Refresh())
@@ -160,7 +160,7 @@
   // kConflict, when another change took its place, so that it never takes
   // effect; or kUnknownOutcome, when the base is still the head; or
   // kUnavailable.
-  Result<uint64_t> Settle(const Submission& submission, Change* other) {
+  Result<uint64_t> Settle(const DocumentChange& submission, Change* other) {
     // The head comes first: a change that is accepted between the two reads is
     // then unknown and not taken for another one.
     const Result<ConfigHead> head = this->ReadHead();
@@ -241,7 +241,7 @@
   // since it expects the head of its base: at most one of the copies takes
   // effect.
   Result<uint64_t> CommitAndSettle(const Transaction& transaction,
-                                   const Submission& submission,
+                                   const DocumentChange& submission,
                                    Change* other) {
     bool maybe_sent = false;
     for (int round = 0; round < kMaxSettleRounds; ++round) {
--- a/config/testing/store_faults_test.cc
+++ b/config/testing/store_faults_test.cc
@@ -65,7 +65,7 @@
     const Result<const ConfigState*> state = store.Load();
     if (!state)
       return;
-    Submission submission;
+    DocumentChange submission;
     submission.base = state.value()->Version();
     // An operator who has not looked for a while.
     if (submission.base > 0 && *rc::gen::inRange(0, 4) == 0)
@@ -85,7 +85,7 @@
   FaultyTable table;
   absl::Time now = absl::UnixEpoch();
   std::vector<ConfigStore<FaultyTable>> stores;
-  std::vector<std::pair<Submission, Result<uint64_t>>> results;
+  std::vector<std::pair<DocumentChange, Result<uint64_t>>> results;
   std::map<std::string, Document> documents;
 };
 
--- a/config/testing/store_test.cc
+++ b/config/testing/store_test.cc
@@ -17,10 +17,10 @@
   return document;
 }
 
-Submission Submit(Document document,
-                  uint64_t base,
-                  const std::string& operator_name = "ann",
-                  const std::string& change_id = "c1") {
+DocumentChange Submit(Document document,
+                      uint64_t base,
+                      const std::string& operator_name = "ann",
+                      const std::string& change_id = "c1") {
   return {std::move(document), base, operator_name, change_id};
 }
 
@@ -185,7 +185,7 @@
   };
   ConfigStore store(&table);
   Change other;
-  const Submission submission = Submit(MakeDocument({"a"}), 0);
+  const DocumentChange submission = Submit(MakeDocument({"a"}), 0);
   EXPECT_EQ(store.Accept(submission, kNow, &other).error(),
             ConfigError::kUnknownOutcome);
   EXPECT_EQ(store.Settle(submission, &other).error(),
--- a/daemon/cuminjunctiond_main.cc
+++ b/daemon/cuminjunctiond_main.cc
@@ -8,6 +8,8 @@
 #include "base/file.h"
 #include "daemon/agent_process.h"
 #include "daemon/entry_process.h"
+#include "daemon/fleet_agent.h"
+#include "daemon/fleet_entry.h"
 #include "daemon/settings.h"
 
 namespace cuminjunction {
@@ -115,7 +117,12 @@
   if (values.count("check") > 0)
     return kExitOk;
   const sigset_t signals = BlockSignals();
-  if (settings.value().role == Role::kEntry)
+  const bool entry = settings.value().role == Role::kEntry;
+  if (settings.value().fleet.IsSet() && entry)
+    return Run<FleetEntry>(settings.value(), signals, path);
+  if (settings.value().fleet.IsSet())
+    return Run<FleetAgent>(settings.value(), signals, path);
+  if (entry)
     return Run<EntryProcess>(settings.value(), signals, path);
   return Run<AgentProcess>(settings.value(), signals, path);
 }
--- a/daemon/entry_admin.cc
+++ b/daemon/entry_admin.cc
@@ -123,7 +123,7 @@
   Result<Document> document = this->Check(text, &problems);
   if (!document)
     return problems;
-  Submission submission;
+  DocumentChange submission;
   submission.document = std::move(document.value());
   submission.base = *base;
   submission.operator_name = operator_name;
--- /dev/null
+++ b/daemon/fleet_agent.cc
@@ -0,0 +1,216 @@
+#include "daemon/fleet_agent.h"
+
+#include <utility>
+
+#include "base/time.h"
+#include "platform/bodies.h"
+#include "platform/calls.h"
+
+namespace cuminjunction {
+
+namespace {
+
+// A runner opens few connections; others on its VM may too.
+constexpr unsigned kMaxConnections = 64;
+
+HttpReply JsonReply(unsigned status, std::string body) {
+  return {status, {{"Content-Type", "application/json"}}, std::move(body)};
+}
+
+}  // namespace
+
+Result<std::unique_ptr<FleetAgent>> FleetAgent::Start(const Settings& settings,
+                                                      Log* log) {
+  std::unique_ptr<FleetAgent> agent(new FleetAgent(settings, log));
+  agent->thread.Start();
+  const Status listening = agent->thread.Call([&] { return agent->Listen(); });
+  if (!listening)
+    return listening.error();
+  log->Write(LogLine("started")
+                 .Add("role", "agent")
+                 .Add("name", settings.name)
+                 .Add("failure_domain", settings.failure_domain));
+  return agent;
+}
+
+FleetAgent::FleetAgent(const Settings& settings, Log* log)
+    : settings(settings), log(log), thread("agent") {}
+
+FleetAgent::~FleetAgent() {
+  this->thread.Call([this] {
+    if (this->guard)
+      this->guard->Close();
+    this->front = nullptr;
+    this->metrics_front = nullptr;
+    this->port = nullptr;
+    this->registration = nullptr;
+    this->guard = nullptr;
+    this->runner = nullptr;
+    this->store = nullptr;
+  });
+  this->thread.Stop();
+}
+
+Status FleetAgent::Listen() {
+  boost::asio::io_context* context = &this->thread.Context();
+  const FleetSettings& fleet = this->settings.fleet;
+  this->store =
+      std::make_unique<Store>(context, StoreOptions{fleet.store, kFleetPart});
+  this->runner = std::make_unique<Runner>(context, fleet.runner);
+  this->guard = std::make_unique<RunnerGuard>(
+      context, this->runner.get(),
+      RunnerGuardOptions{absl::Milliseconds(fleet.max_lease_ms)}, this->log,
+      &this->metrics,
+      RunnerGuardHandlers{
+          .on_changed = [this] { this->Report(); },
+          .on_ended =
+              [this](int64_t born_ms, std::vector<EndedRun>&& ends) {
+                this->port->Send(EndNotices{born_ms, std::move(ends)});
+              },
+          .on_refused =
+              [this](const TaskRef& task, uint32_t run, StartOutcome outcome) {
+                this->port->Send(
+                    StartRefused{task, run, static_cast<uint8_t>(outcome)});
+              }});
+  this->port = std::make_unique<PlannerPort>(
+      &this->thread, this->settings.name, this->log,
+      PlannerPortHandlers{
+          .on_planner = [this] { this->Report(); },
+          .on_lost = [] {},
+          .on_ping = [this](const PlannerPing& ping) { this->OnPing(ping); },
+          .on_message =
+              [this](FleetMessage&& message) {
+                this->OnMessage(std::move(message));
+              }});
+  const ListenSettings& listen = this->settings.listen;
+  BOOST_OUTCOME_TRY(this->port->Listen(listen.host, listen.peer_port));
+  this->front = std::make_unique<HttpFront>(
+      context,
+      HttpFrontOptions{.host = fleet.heartbeats.host,
+                       .port = fleet.heartbeats.port,
+                       .max_connections = kMaxConnections},
+      [this](HttpExchange* exchange) { this->OnRunnerRequest(exchange); });
+  BOOST_OUTCOME_TRY(this->front->Start());
+  if (fleet.metrics.port != 0) {
+    this->metrics_front = std::make_unique<HttpFront>(
+        context,
+        HttpFrontOptions{.host = listen.host, .port = fleet.metrics.port},
+        [this](HttpExchange* exchange) {
+          this->metrics_front->Answer(
+              exchange,
+              {200, {{"Content-Type", "text/plain"}}, this->metrics.Text()});
+        });
+    BOOST_OUTCOME_TRY(this->metrics_front->Start());
+  }
+  this->registration = std::make_unique<NodeRegistration>(
+      context, this->store.get(),
+      NodeRow{{listen.host, listen.peer_port}, true}, this->settings.name,
+      this->log);
+  this->registration->Start();
+  this->guard->Begin();
+  return Ok();
+}
+
+void FleetAgent::Shutdown() {
+  this->log->Write(LogLine("stopped").Add("role", "agent"));
+}
+
+void FleetAgent::OnRunnerRequest(HttpExchange* exchange) {
+  const auto call = ParseRunnerCall(exchange->method, exchange->path);
+  unsigned status = 404;
+  if (call && call->kind == RunnerCallKind::kHeartbeat) {
+    status = this->TakeHeartbeat(call->runner, exchange->body);
+  } else if (call) {
+    status = 200;
+    this->log->Write(LogLine("runner_left").Add("runner", call->runner));
+    if (call->runner == this->info.runner) {
+      this->info.draining = true;
+      this->guard->OnRunnerLeft();
+      this->ReportInfo();
+    }
+  }
+  this->front->Answer(exchange, JsonReply(status, "{}"));
+}
+
+unsigned FleetAgent::TakeHeartbeat(const std::string& runner_name,
+                                   const std::string& body) {
+  const auto heartbeat = ParseRunnerHeartbeat(runner_name, body);
+  if (!heartbeat) {
+    this->log->Write(LogLine("heartbeat_refused", LogLevel::kWarning)
+                         .Add("runner", runner_name)
+                         .Add("error", heartbeat.error()));
+    return 400;
+  }
+  const RunnerInfo& fresh = heartbeat.value().info;
+  // A heartbeat that was held up may be of an earlier life or moment.
+  const bool same_life =
+      fresh.runner == this->info.runner && fresh.born_ms == this->info.born_ms;
+  if (fresh.born_ms < this->info.born_ms ||
+      (same_life && heartbeat.value().sequence <= this->sequence))
+    return 200;
+  this->sequence = heartbeat.value().sequence;
+  if (fresh == this->info)
+    return 200;
+  this->log->Write(LogLine("runner_heard")
+                       .Add("runner", fresh.runner)
+                       .Add("born_ms", fresh.born_ms)
+                       .Add("draining", fresh.draining)
+                       .Add("cores", fresh.capacity.millicores));
+  this->info = fresh;
+  this->ReportInfo();
+  return 200;
+}
+
+void FleetAgent::OnPing(const PlannerPing& ping) {
+  if (ping.grant_ms > 0)
+    this->guard->SetAuthority(FromMicros(ping.echoed_stamp_us) +
+                              absl::Milliseconds(ping.grant_ms));
+}
+
+void FleetAgent::OnMessage(FleetMessage&& message) {
+  if (const auto* starts = std::get_if<StartRuns>(&message)) {
+    for (const RunOrder& order : starts->runs) {
+      if (order.text >= starts->texts.size()) {
+        this->log->Write(LogLine("order_damaged", LogLevel::kError)
+                             .Add("submission", order.task.submission));
+        continue;
+      }
+      this->guard->Start(order, starts->texts[order.text]);
+    }
+  } else if (const auto* stops = std::get_if<StopRuns>(&message)) {
+    for (const StopRun& stop : stops->runs)
+      this->guard->Stop(stop.task, stop.run);
+  } else if (const auto* confirm = std::get_if<ConfirmEnds>(&message)) {
+    this->guard->ConfirmEnds(confirm->born_ms, confirm->up_to);
+  } else if (const auto* describe = std::get_if<DescribeRuns>(&message)) {
+    for (const RunOrder& order : describe->runs)
+      this->guard->Describe(order);
+  }
+}
+
+void FleetAgent::Report() {
+  // Before it is certain what runs, nothing can be said.
+  if (!this->guard->IsKnown())
+    return;
+  WorkerNotice notice;
+  notice.info = this->info;
+  // A runner whose size is unknown takes no work yet.
+  notice.alive = this->guard->IsAlive() && !this->info.runner.empty();
+  notice.info.born_ms = this->guard->BornMs();
+  notice.running = this->guard->Running();
+  notice.ended = this->guard->Ended();
+  this->port->Send(notice);
+}
+
+void FleetAgent::ReportInfo() {
+  if (!this->guard->IsKnown())
+    return;
+  InfoNotice notice;
+  notice.info = this->info;
+  notice.info.born_ms = this->guard->BornMs();
+  notice.alive =
+      this->guard->IsAlive() && this->info.born_ms == this->guard->BornMs();
+  this->port->Send(notice);
+}
+
+}  // namespace cuminjunction
--- /dev/null
+++ b/daemon/fleet_agent.h
@@ -0,0 +1,73 @@
+#ifndef DAEMON_FLEET_AGENT_H_
+#define DAEMON_FLEET_AGENT_H_
+
+// An agent on the users' platform: takes the heartbeats of the runner on its VM
+// and carries out the planner's orders there.
+//
+//   Result<std::unique_ptr<FleetAgent>> agent = FleetAgent::Start(settings,
+//   &log);
+//   ...
+//   agent.value()->Shutdown();
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+
+#include "base/event_thread.h"
+#include "base/http_front.h"
+#include "base/log.h"
+#include "base/metrics.h"
+#include "daemon/node_row.h"
+#include "daemon/planner_port.h"
+#include "daemon/runner_guard.h"
+#include "daemon/settings.h"
+#include "platform/runner.h"
+#include "platform/store.h"
+#include "submission/types.h"
+
+namespace cuminjunction {
+
+class FleetAgent {
+ public:
+  // Starts the agent's thread. Fails with the system's error when an address
+  // can't be listened on.
+  static Result<std::unique_ptr<FleetAgent>> Start(const Settings& settings,
+                                                   Log* log);
+  ~FleetAgent();
+  FleetAgent(const FleetAgent&) = delete;
+  FleetAgent& operator=(const FleetAgent&) = delete;
+
+  // Stops. The runner goes on under the lease that it has, so that an agent
+  // that starts again within it finds its tasks running.
+  void Shutdown();
+
+ private:
+  FleetAgent(const Settings& settings, Log* log);
+
+  Status Listen();
+  void OnRunnerRequest(HttpExchange* exchange);
+  unsigned TakeHeartbeat(const std::string& runner, const std::string& body);
+  void OnMessage(FleetMessage&& message);
+  void OnPing(const PlannerPing& ping);
+  void Report();
+  void ReportInfo();
+
+  Settings settings;
+  Log* log;
+  Metrics metrics;
+  EventThread thread;
+  std::unique_ptr<Store> store;
+  std::unique_ptr<NodeRegistration> registration;
+  std::unique_ptr<Runner> runner;
+  std::unique_ptr<RunnerGuard> guard;
+  std::unique_ptr<PlannerPort> port;
+  std::unique_ptr<HttpFront> front;
+  std::unique_ptr<HttpFront> metrics_front;
+  // The last heartbeat of the present life.
+  RunnerInfo info;
+  int64_t sequence = 0;
+};
+
+}  // namespace cuminjunction
+
+#endif  // DAEMON_FLEET_AGENT_H_
--- /dev/null
+++ b/daemon/fleet_entry.cc
@@ -0,0 +1,493 @@
+#include "daemon/fleet_entry.h"
+
+#include <algorithm>
+#include <chrono>
+#include <thread>
+#include <utility>
+
+#include "base/strings.h"
+#include "base/time.h"
+#include "platform/bodies.h"
+#include "platform/calls.h"
+
+namespace cuminjunction {
+
+namespace {
+
+constexpr std::chrono::milliseconds kTick(100);
+
+// Limit for one call to the store; a slow store answers in 240 ms.
+constexpr absl::Duration kCallTimeout = absl::Milliseconds(700);
+constexpr absl::Duration kRetryPause = absl::Milliseconds(50);
+
+// What a caller that does not say so waits for an answer.
+constexpr int64_t kDefaultPatienceMs = 3000;
+
+// The last moment for an answer is this long before the caller's patience
+// ends: a round trip to a caller takes 6 ms.
+constexpr absl::Duration kAnswerMargin = absl::Milliseconds(150);
+
+// Callers that are refused come back after this, in seconds: an outage of the
+// store lasts for seconds, a takeover for one.
+constexpr char kRetryAfterS[] = "1";
+
+// How long accepted submissions are repeated to a new planner; by then its
+// reads of the tables have found them.
+constexpr absl::Duration kRepeatAccepted = absl::Seconds(5);
+
+// Counts of waiting submissions may be 2 s old by the platform's rules.
+constexpr absl::Duration kWaitingFresh = absl::Milliseconds(1900);
+
+// After SIGTERM: time until the platform has noticed that the entry is not
+// ready (two questions a second apart, and a margin), and time for the last
+// answers.
+constexpr std::chrono::milliseconds kNotReadyGrace(2600);
+constexpr std::chrono::milliseconds kLastAnswers(600);
+
+}  // namespace
+
+// A submission whose row is being stored.
+struct FleetEntry::Submit {
+  HttpExchange* exchange = nullptr;
+  Submission submission;
+  absl::Time deadline;
+  // A try may have been carried out, or may still be.
+  bool maybe = false;
+};
+
+Result<std::unique_ptr<FleetEntry>> FleetEntry::Start(const Settings& settings,
+                                                      Log* log) {
+  std::unique_ptr<FleetEntry> entry(new FleetEntry(settings, log));
+  entry->thread.Start();
+  const Status listening = entry->thread.Call([&] { return entry->Listen(); });
+  if (!listening)
+    return listening.error();
+  log->Write(LogLine("started")
+                 .Add("role", "entry")
+                 .Add("name", settings.name)
+                 .Add("failure_domain", settings.failure_domain));
+  return entry;
+}
+
+FleetEntry::FleetEntry(const Settings& settings, Log* log)
+    : settings(settings),
+      log(log),
+      thread("entry"),
+      tick_timer(this->thread.Context()) {}
+
+FleetEntry::~FleetEntry() {
+  this->thread.Call([this] {
+    this->tick_timer.cancel();
+    this->front = nullptr;
+    this->ready_front = nullptr;
+    this->metrics_front = nullptr;
+    this->port = nullptr;
+    this->planner = nullptr;
+    this->follower = nullptr;
+    this->registration = nullptr;
+    this->store = nullptr;
+  });
+  this->thread.Stop();
+}
+
+Status FleetEntry::Listen() {
+  boost::asio::io_context* context = &this->thread.Context();
+  const FleetSettings& fleet = this->settings.fleet;
+  const ListenSettings& listen = this->settings.listen;
+  this->store =
+      std::make_unique<Store>(context, StoreOptions{fleet.store, kFleetPart});
+  this->planner = std::make_unique<FleetPlanner>(context, this->store.get(),
+                                                 this->settings.name, this->log,
+                                                 &this->metrics);
+  this->port = std::make_unique<PlannerPort>(
+      &this->thread, this->settings.name, this->log,
+      PlannerPortHandlers{
+          .on_planner = [this] { this->OnPlanner(); },
+          .on_lost = [this] { this->view.store_trouble = false; },
+          .on_ping =
+              [this](const PlannerPing& ping) {
+                this->view.store_trouble = ping.store_trouble;
+              },
+          .on_message =
+              [this](FleetMessage&& message) {
+                this->OnMessage(std::move(message));
+              }});
+  BOOST_OUTCOME_TRY(this->port->Listen(listen.host, listen.peer_port));
+  this->front = std::make_unique<HttpFront>(
+      context,
+      HttpFrontOptions{.host = fleet.submissions.host,
+                       .port = fleet.submissions.port,
+                       .max_connections = static_cast<unsigned>(
+                           this->settings.max_connections)},
+      [this](HttpExchange* exchange) { this->OnRequest(exchange); });
+  BOOST_OUTCOME_TRY(this->front->Start());
+  this->ready_front = std::make_unique<HttpFront>(
+      context,
+      HttpFrontOptions{.host = fleet.ready.host, .port = fleet.ready.port},
+      [this](HttpExchange* exchange) { this->OnReadyRequest(exchange); });
+  BOOST_OUTCOME_TRY(this->ready_front->Start());
+  if (fleet.metrics.port != 0) {
+    this->metrics_front = std::make_unique<HttpFront>(
+        context,
+        HttpFrontOptions{.host = listen.host, .port = fleet.metrics.port},
+        [this](HttpExchange* exchange) {
+          this->metrics_front->Answer(
+              exchange,
+              {200, {{"Content-Type", "text/plain"}}, this->metrics.Text()});
+        });
+    BOOST_OUTCOME_TRY(this->metrics_front->Start());
+  }
+  this->registration = std::make_unique<NodeRegistration>(
+      context, this->store.get(),
+      NodeRow{{listen.host, listen.peer_port}, false}, this->settings.name,
+      this->log);
+  this->registration->Start();
+  this->follower = std::make_unique<PolicyFollower>(
+      context, this->store.get(), this->log,
+      [this](const FleetPolicy& policy) { this->planner->SetPolicy(policy); });
+  this->follower->Start();
+  this->Tick();
+  return Ok();
+}
+
+void FleetEntry::Tick() {
+  this->view.connected = this->port->IsConnected();
+  this->view.last_ping = this->port->LastPing();
+  this->view.epoch = this->port->Epoch();
+  this->planner->Tick(this->view);
+  const absl::Time now = BootClock().Now();
+  while (!this->recent.empty() &&
+         now - this->recent.front().first > kRepeatAccepted)
+    this->recent.pop_front();
+  this->tick_timer.expires_after(kTick);
+  this->tick_timer.async_wait([this](std::error_code error) {
+    if (!error)
+      this->Tick();
+  });
+}
+
+void FleetEntry::Shutdown() {
+  this->log->Write(LogLine("stopping").Add("role", "entry"));
+  this->thread.Call([this] {
+    this->stopping = true;
+    this->front->CloseConnectionsAfterAnswers();
+    this->planner->Shutdown([] {});
+  });
+  std::this_thread::sleep_for(kNotReadyGrace);
+  this->thread.Call([this] { this->front->StopListening(); });
+  const absl::Time until =
+      absl::Now() + absl::Milliseconds(this->settings.fleet.stop_grace_ms) -
+      absl::FromChrono(kNotReadyGrace + 2 * kLastAnswers);
+  while (absl::Now() < until &&
+         this->thread.Call([this] { return this->front->OpenCount(); }) > 0)
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  std::this_thread::sleep_for(kLastAnswers);
+  this->log->Write(LogLine("stopped").Add("role", "entry"));
+}
+
+bool FleetEntry::IsReady() const {
+  return !this->stopping && this->follower->Policy().version > 0;
+}
+
+void FleetEntry::OnReadyRequest(HttpExchange* exchange) {
+  const bool known = IsReadyCall(exchange->method, exchange->path);
+  const unsigned unready = known ? 503 : 404;
+  this->ready_front->Answer(exchange,
+                            {known && this->IsReady() ? 200 : unready, {}, ""});
+}
+
+void FleetEntry::Reply(HttpExchange* exchange,
+                       unsigned status,
+                       std::string body) {
+  this->front->Answer(
+      exchange,
+      {status, {{"Content-Type", "application/json"}}, std::move(body)});
+}
+
+void FleetEntry::Refuse(HttpExchange* exchange,
+                        unsigned status,
+                        const std::string& id,
+                        std::string_view reason) {
+  this->metrics
+      .GetCounter("submissions_refused_total",
+                  StrCat("reason=\"", reason, "\""))
+      .Add();
+  this->log->Write(LogLine("request_refused")
+                       .Add("submission", id)
+                       .Add("method", exchange->method)
+                       .Add("status", static_cast<uint64_t>(status))
+                       .Add("configuration", this->follower->Policy().version)
+                       .Add("reason", reason));
+  HttpReply reply;
+  reply.status = status;
+  reply.headers = {{"Content-Type", "application/json"}};
+  if (status == 503 || status == 429)
+    reply.headers.emplace_back("Retry-After", kRetryAfterS);
+  reply.body = StrCat("{\"error\":\"", reason, "\"}");
+  this->front->Answer(exchange, std::move(reply));
+}
+
+void FleetEntry::OnRequest(HttpExchange* exchange) {
+  const FleetPolicy& policy = this->follower->Policy();
+  const std::string path = exchange->path.substr(0, exchange->path.find('?'));
+  const std::string id = path.substr(path.rfind('/') + 1);
+  if (policy.version == 0) {
+    this->Refuse(exchange, 503, id, "no-configuration");
+    return;
+  }
+  const Queue* queue = policy.Find(RequestHost(exchange->headers), path);
+  if (queue == nullptr) {
+    this->Refuse(exchange, 404, id, "no-such-queue");
+    return;
+  }
+  if (exchange->limit != HttpLimit::kNone) {
+    const unsigned status = exchange->limit == HttpLimit::kBody      ? 413
+                            : exchange->limit == HttpLimit::kHeaders ? 431
+                                                                     : 503;
+    this->Refuse(exchange, status, id, "limit");
+    return;
+  }
+  const std::string name = path.substr(queue->prefix.size());
+  if (exchange->method == "GET" && name.empty()) {
+    this->OnWaiting(exchange, *queue);
+  } else if (!IsSubmissionId(name)) {
+    this->Refuse(exchange, 400, id, "bad-id");
+  } else if (exchange->method == "POST") {
+    this->OnSubmit(exchange, *queue, name);
+  } else if (exchange->method == "GET") {
+    this->OnState(exchange, name);
+  } else if (exchange->method == "DELETE") {
+    this->OnCancel(exchange, name);
+  } else {
+    this->Refuse(exchange, 405, id, "bad-method");
+  }
+}
+
+void FleetEntry::OnSubmit(HttpExchange* exchange,
+                          const Queue& queue,
+                          const std::string& id) {
+  const int64_t limit = this->follower->Policy().max_body_bytes;
+  if (limit > 0 && static_cast<int64_t>(exchange->body.size()) > limit) {
+    this->Refuse(exchange, 413, id, "body-too-large");
+    return;
+  }
+  // A repetition of a submission that is stored.
+  if (this->states.contains(id)) {
+    this->Reply(exchange, 200, "{}");
+    return;
+  }
+  auto submission = ParseSubmission(exchange->body);
+  if (!submission) {
+    this->Refuse(exchange, 400, id, "bad-body");
+    return;
+  }
+  auto submit = std::make_shared<Submit>();
+  submit->exchange = exchange;
+  submit->submission = std::move(submission.value());
+  submit->submission.id = id;
+  submit->submission.queue = queue.name;
+  submit->submission.accepted_ms = absl::ToUnixMillis(absl::Now());
+  submit->deadline =
+      BootClock().Now() +
+      absl::Milliseconds(
+          CallerPatienceMs(exchange->headers).value_or(kDefaultPatienceMs)) -
+      kAnswerMargin;
+  this->SendSubmit(submit);
+}
+
+void FleetEntry::SendSubmit(const std::shared_ptr<Submit>& submit) {
+  const std::string& id = submit->submission.id;
+  const absl::Duration left = submit->deadline - BootClock().Now();
+  this->store->Commit(
+      {.expects = {{kSubmissionTable, id, 0}},
+       .puts = {{kSubmissionTable, id, Encode(submit->submission)}}},
+      std::clamp(left, absl::Milliseconds(1), kCallTimeout),
+      [this, submit](CommitReply&& reply) {
+        this->OnSubmitReply(submit, std::move(reply));
+      });
+}
+
+void FleetEntry::OnSubmitReply(const std::shared_ptr<Submit>& submit,
+                               CommitReply&& reply) {
+  const std::string& id = submit->submission.id;
+  // A conflict means that the row exists: by an earlier try, or by another
+  // entry that got the same submission.
+  if (!reply.error || reply.error == PlatformError::kConflict) {
+    this->Accept(submit);
+    return;
+  }
+  const bool refused = reply.error == PlatformError::kRefused ||
+                       reply.error == PlatformError::kNotSent;
+  if (refused && !submit->maybe) {
+    this->Refuse(submit->exchange, 503, id, "store-unavailable");
+    return;
+  }
+  submit->maybe = true;
+  if (BootClock().Now() + kRetryPause >= submit->deadline) {
+    // Neither stored nor not stored for certain.
+    this->Refuse(submit->exchange, 504, id, "outcome-unknown");
+    return;
+  }
+  auto pause = std::make_shared<boost::asio::steady_timer>(
+      this->thread.Context(), absl::ToChronoMilliseconds(kRetryPause));
+  pause->async_wait([this, submit, pause](std::error_code error) {
+    if (!error)
+      this->SendSubmit(submit);
+  });
+}
+
+void FleetEntry::Accept(const std::shared_ptr<Submit>& submit) {
+  const Submission& submission = submit->submission;
+  this->metrics.GetCounter("submissions_accepted_total").Add();
+  this->log->Write(LogLine("submission_accepted")
+                       .Add("submission", submission.id)
+                       .Add("queue", submission.queue)
+                       .Add("steps", submission.steps.size())
+                       .Add("epoch", this->port->Epoch())
+                       .Add("planner_connected", this->port->IsConnected()));
+  this->states.emplace(submission.id, SubmissionState::kQueued);
+  const bool connected = this->port->IsConnected();
+  // A submission that was stored by a lost try may be known to another planner.
+  if (connected)
+    this->port->Send(AcceptedNotice{submission, !submit->maybe});
+  this->recent.emplace_back(BootClock().Now(), submission);
+  this->Reply(submit->exchange, 200, "{}");
+}
+
+void FleetEntry::LookUp(
+    const std::string& id,
+    std::function<void(std::error_code, std::optional<SubmissionState>)> done) {
+  this->store->ReadOne(kSubmissionTable, id, kCallTimeout,
+                       [this, id, done = std::move(done)](RowsReply&& row) {
+                         if (row.error || row.rows.empty()) {
+                           done(row.error, std::nullopt);
+                           return;
+                         }
+                         this->store->ReadOne(
+                             kProgressTable, id, kCallTimeout,
+                             [id, done](RowsReply&& reply) {
+                               SubmissionState state = SubmissionState::kQueued;
+                               if (!reply.error && !reply.rows.empty()) {
+                                 const auto progress =
+                                     Decode<Progress>(reply.rows.front().value);
+                                 if (progress)
+                                   state = IsFinal(progress.value().state)
+                                               ? progress.value().state
+                                               : SubmissionState::kRunning;
+                               }
+                               done(reply.error, state);
+                             });
+                       });
+}
+
+void FleetEntry::OnState(HttpExchange* exchange, const std::string& id) {
+  const auto found = this->states.find(id);
+  if (found != this->states.end()) {
+    this->Reply(exchange, 200, StateBody(found->second));
+    return;
+  }
+  // Another entry may have taken it a moment ago.
+  this->LookUp(id, [this, exchange, id](std::error_code error,
+                                        std::optional<SubmissionState> state) {
+    if (error) {
+      this->Refuse(exchange, 503, id, "store-unavailable");
+    } else if (!state) {
+      this->Refuse(exchange, 410, id, "unknown-submission");
+    } else {
+      this->SetState(id, *state);
+      this->Reply(exchange, 200, StateBody(this->states.at(id)));
+    }
+  });
+}
+
+void FleetEntry::OnCancel(HttpExchange* exchange, const std::string& id) {
+  const absl::Time deadline =
+      BootClock().Now() +
+      absl::Milliseconds(
+          CallerPatienceMs(exchange->headers).value_or(kDefaultPatienceMs)) -
+      kAnswerMargin;
+  const auto found = this->states.find(id);
+  if (found != this->states.end()) {
+    if (IsFinal(found->second))
+      this->Reply(exchange, 200, "{}");
+    else
+      this->SendCancel(exchange, id, deadline);
+    return;
+  }
+  this->LookUp(
+      id, [this, exchange, id, deadline](std::error_code error,
+                                         std::optional<SubmissionState> state) {
+        if (error) {
+          this->Refuse(exchange, 503, id, "store-unavailable");
+        } else if (!state) {
+          this->Refuse(exchange, 410, id, "unknown-submission");
+        } else {
+          this->SetState(id, *state);
+          this->SendCancel(exchange, id, deadline);
+        }
+      });
+}
+
+void FleetEntry::SendCancel(HttpExchange* exchange,
+                            const std::string& id,
+                            absl::Time deadline) {
+  const absl::Duration left = deadline - BootClock().Now();
+  this->store->Commit(
+      {.expects = {}, .puts = {{kCancellationTable, id, ""}}},
+      std::clamp(left, absl::Milliseconds(1), kCallTimeout),
+      [this, exchange, id, deadline](CommitReply&& reply) {
+        if (!reply.error) {
+          this->log->Write(
+              LogLine("submission_cancelled").Add("submission", id));
+          this->port->Send(CancelledNotice{id});
+          this->SetState(id, SubmissionState::kCancelled);
+          this->Reply(exchange, 200, "{}");
+          return;
+        }
+        if (BootClock().Now() + kRetryPause >= deadline) {
+          this->Refuse(exchange, 504, id, "outcome-unknown");
+          return;
+        }
+        auto pause = std::make_shared<boost::asio::steady_timer>(
+            this->thread.Context(), absl::ToChronoMilliseconds(kRetryPause));
+        pause->async_wait(
+            [this, exchange, id, deadline, pause](std::error_code error) {
+              if (!error)
+                this->SendCancel(exchange, id, deadline);
+            });
+      });
+}
+
+void FleetEntry::OnWaiting(HttpExchange* exchange, const Queue& queue) {
+  if (BootClock().Now() - this->waiting_at > kWaitingFresh) {
+    this->Refuse(exchange, 503, "", "count-too-old");
+    return;
+  }
+  const auto found = this->waiting.find(queue.name);
+  this->Reply(exchange, 200,
+              WaitingBody(found == this->waiting.end() ? 0 : found->second));
+}
+
+void FleetEntry::SetState(const std::string& id, SubmissionState state) {
+  SubmissionState& known = this->states[id];
+  if (!IsFinal(known))
+    known = state;
+}
+
+void FleetEntry::OnPlanner() {
+  for (const auto& [time, submission] : this->recent)
+    this->port->Send(AcceptedNotice{submission, false});
+}
+
+void FleetEntry::OnMessage(FleetMessage&& message) {
+  if (const auto* notices = std::get_if<StateNotices>(&message)) {
+    for (const StateNotice& notice : notices->states)
+      this->SetState(notice.submission,
+                     static_cast<SubmissionState>(notice.state));
+  } else if (auto* counts = std::get_if<WaitingNotice>(&message)) {
+    this->waiting = std::move(counts->waiting);
+    this->waiting_at = BootClock().Now();
+  }
+}
+
+}  // namespace cuminjunction
--- /dev/null
+++ b/daemon/fleet_planner.cc
@@ -0,0 +1,610 @@
+#include "daemon/fleet_planner.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "base/time.h"
+
+namespace cuminjunction {
+
+namespace {
+
+// A planner that was not heard for this long is taken for dead if its lease
+// row stands still as well; it pings every 400 ms.
+constexpr absl::Duration kPlannerSilence = absl::Milliseconds(1500);
+
+// How long an entry waits after its connection to the planner ended: a living
+// planner connects again within 250 ms.
+constexpr absl::Duration kReconnectGrace = absl::Milliseconds(350);
+
+// What agents are granted while the store answers: longer than a short cut of
+// a VM (5.5 s on the sites) less the age of the stamp, and short enough that
+// work of a lost VM starts again within 7 s.
+constexpr absl::Duration kGrant = absl::Milliseconds(6000);
+
+// What agents are granted once commits fail, so that no work is lost to an
+// outage of the store and the takeover after it (up to 9 s on the sites).
+constexpr absl::Duration kOutageGrant = absl::Seconds(16);
+
+// A planner whose last commit is older than this is in trouble.
+constexpr absl::Duration kTroubleAfter = absl::Milliseconds(1300);
+
+// How long a silent worker of an earlier planner may still run: that planner's
+// lease, the longest grant, and the margin for clocks.
+const absl::Duration kEarlierAuthority =
+    kLeasePeriod + kOutageGrant + absl::Seconds(1);
+
+// Events of one moment are planned together.
+constexpr std::chrono::milliseconds kRunDelay(2);
+
+// How often the tables are read for what a connection lost.
+constexpr absl::Duration kRepairInterval = absl::Milliseconds(1500);
+
+constexpr absl::Duration kReadTimeout = absl::Seconds(2);
+constexpr absl::Duration kNodeFeedWait = absl::Seconds(8);
+constexpr absl::Duration kWaitingInterval = absl::Milliseconds(400);
+
+// Runs in one message, which keeps it below the longest frame: texts have up
+// to 4,000 bytes.
+constexpr size_t kMaxRunsInMessage = 25;
+
+// Notices in one message.
+constexpr size_t kMaxStatesInMessage = 2000;
+
+}  // namespace
+
+// The tables that a new planner reads, in this order.
+struct FleetPlanner::LoadedRows {
+  uint64_t term = 0;
+  std::vector<std::string> left = {kSubmissionTable, kProgressTable,
+                                   kCancellationTable, kNodeTable};
+  std::map<std::string, std::vector<StoreRow>> rows;
+  absl::Time started;
+};
+
+FleetPlanner::FleetPlanner(boost::asio::io_context* context,
+                           Store* store,
+                           const std::string& vm,
+                           Log* log,
+                           Metrics* metrics)
+    : context(context),
+      store(store),
+      vm(vm),
+      log(log),
+      starts_total(metrics->GetCounter("planner_starts_total")),
+      stops_total(metrics->GetCounter("planner_stops_total")),
+      ends_total(metrics->GetCounter("planner_ends_total")),
+      takeovers_total(metrics->GetCounter("planner_takeovers_total")),
+      nodes(context,
+            vm,
+            log,
+            {.on_connected =
+                 [this](const std::string& node, bool agent) {
+                   if (!agent && this->scheduler) {
+                     this->SendStates(this->scheduler->AllStates());
+                     this->next_waiting = absl::InfinitePast();
+                   }
+                   this->log->Write(LogLine("node_connected")
+                                        .Add("node", node)
+                                        .Add("agent", agent));
+                 },
+             .on_lost =
+                 [this](const std::string& node, bool agent) {
+                   if (agent && this->scheduler)
+                     this->scheduler->Disconnected(node);
+                 },
+             .on_granted =
+                 [this](const std::string& node, absl::Time end) {
+                   if (this->scheduler)
+                     this->scheduler->ExtendAuthority(node, end);
+                 },
+             .on_message =
+                 [this](const std::string& node, FleetMessage&& message) {
+                   if (this->scheduler)
+                     this->OnNodeMessage(node, std::move(message));
+                 },
+             .on_deposed = [this] { this->StepDown(); }}),
+      lease(context,
+            store,
+            vm,
+            log,
+            {.on_claimed = [this](uint64_t epoch) { this->OnClaimed(epoch); },
+             .on_deposed = [this] { this->StepDown(); }}),
+      run_timer(*context) {}
+
+void FleetPlanner::SetPolicy(const FleetPolicy& new_policy) {
+  this->policy = new_policy;
+  if (this->scheduler) {
+    this->scheduler->SetPolicy(new_policy);
+    this->ScheduleRun();
+  }
+}
+
+bool FleetPlanner::ShouldClaim(const PlannerView& view,
+                               absl::Time now,
+                               bool* vacant) {
+  *vacant = false;
+  if (this->policy.version == 0 || this->stopping)
+    return false;
+  if (view.connected) {
+    this->lost_since = absl::InfinitePast();
+    if (view.store_trouble) {
+      *vacant = true;
+      return true;
+    }
+    return now - view.last_ping > kPlannerSilence;
+  }
+  if (this->lost_since == absl::InfinitePast())
+    this->lost_since = now;
+  return now - this->lost_since > kReconnectGrace ||
+         view.last_ping == absl::InfinitePast();
+}
+
+void FleetPlanner::Tick(const PlannerView& view) {
+  const absl::Time now = BootClock().Now();
+  if (view.epoch > this->lease.Epoch())
+    this->StepDown();
+  if (!this->lease.IsHeld()) {
+    bool vacant = false;
+    if (this->ShouldClaim(view, now, &vacant))
+      this->lease.Claim(vacant);
+    return;
+  }
+  this->lease.Renew();
+  if (!this->scheduler)
+    return;
+  this->nodes.Tick(this->Grant(now), this->InTrouble(now));
+  // Without a valid lease another planner may have granted more.
+  if (now < this->lease.ValidUntil())
+    this->scheduler->Expire(now);
+  this->RepairFromFeeds(now);
+  this->SendWaiting(now);
+  this->Run();
+}
+
+absl::Duration FleetPlanner::Grant(absl::Time now) const {
+  if (now >= this->lease.ValidUntil())
+    return absl::ZeroDuration();
+  return now - this->lease.LastSuccess() > kTroubleAfter ? kOutageGrant
+                                                         : kGrant;
+}
+
+bool FleetPlanner::InTrouble(absl::Time now) const {
+  return now - this->lease.LastSuccess() > kTroubleAfter;
+}
+
+void FleetPlanner::OnClaimed(uint64_t epoch) {
+  this->takeovers_total.Add();
+  ++this->term;
+  auto rows = std::make_shared<LoadedRows>();
+  rows->term = this->term;
+  rows->started = BootClock().Now();
+  this->nodes.Begin(epoch);
+  this->feed_versions.clear();
+  this->LoadNext(std::move(rows));
+}
+
+void FleetPlanner::StepDown() {
+  if (!this->lease.IsHeld() && !this->scheduler)
+    return;
+  this->log->Write(
+      LogLine("planner_stopped").Add("epoch", this->lease.Epoch()));
+  ++this->term;
+  this->lease.Drop();
+  this->nodes.End();
+  this->scheduler = nullptr;
+  this->to_confirm.clear();
+  this->feeds_running.clear();
+  this->lost_since = absl::InfinitePast();
+}
+
+void FleetPlanner::Shutdown(std::function<void()> done) {
+  this->stopping = true;
+  this->lease.Release([this, done = std::move(done)] {
+    this->StepDown();
+    done();
+  });
+}
+
+void FleetPlanner::LoadNext(std::shared_ptr<LoadedRows> rows) {
+  if (rows->left.empty()) {
+    this->OnLoaded(*rows);
+    return;
+  }
+  const std::string table = rows->left.back();
+  this->LoadTable(table, "", std::move(rows));
+}
+
+void FleetPlanner::LoadTable(const std::string& table,
+                             const std::string& from,
+                             std::shared_ptr<LoadedRows> rows) {
+  this->store->Read(
+      table, from, 0, kReadTimeout,
+      [this, table, from, rows](RowsReply&& reply) {
+        if (rows->term != this->term)
+          return;
+        if (reply.error) {
+          this->log->Write(LogLine("load_failed", LogLevel::kWarning)
+                               .Add("table", table)
+                               .Add("error", reply.error));
+          this->run_timer.expires_after(std::chrono::milliseconds(100));
+          this->run_timer.async_wait(
+              [this, table, from, rows](std::error_code error) {
+                if (!error && rows->term == this->term)
+                  this->LoadTable(table, from, rows);
+              });
+          return;
+        }
+        // The feed goes on from the first page, which is the oldest.
+        this->feed_versions.emplace(table, reply.version);
+        std::vector<StoreRow>& kept = rows->rows[table];
+        std::string next;
+        if (!reply.rows.empty())
+          next = reply.rows.back().key + '\0';
+        std::move(reply.rows.begin(), reply.rows.end(),
+                  std::back_inserter(kept));
+        if (reply.more && !next.empty()) {
+          this->LoadTable(table, next, rows);
+          return;
+        }
+        rows->left.pop_back();
+        this->LoadNext(rows);
+      });
+}
+
+void FleetPlanner::OnLoaded(const LoadedRows& rows) {
+  const absl::Time now = BootClock().Now();
+  const absl::Time wall = absl::Now();
+  this->scheduler = std::make_unique<Scheduler>();
+  this->scheduler->SetPolicy(this->policy);
+  std::map<std::string, Progress> progress;
+  size_t damaged = 0;
+  const auto find = [&](const char* table) -> const std::vector<StoreRow>& {
+    static const std::vector<StoreRow> none;
+    const auto found = rows.rows.find(table);
+    return found == rows.rows.end() ? none : found->second;
+  };
+  for (const StoreRow& row : find(kProgressTable)) {
+    auto decoded = Decode<Progress>(row.value);
+    if (decoded)
+      progress[row.key] = std::move(decoded.value());
+    else
+      ++damaged;
+  }
+  for (const StoreRow& row : find(kSubmissionTable)) {
+    const auto submission = Decode<Submission>(row.value);
+    if (!submission) {
+      ++damaged;
+      continue;
+    }
+    const auto known = progress.find(row.key);
+    std::optional<Progress> kept;
+    if (known != progress.end())
+      kept = known->second;
+    // The first planner ever has no predecessor whose starts it can't know.
+    const bool certain = this->lease.Epoch() == 1;
+    this->scheduler->Add(submission.value(), kept, certain, now, wall);
+  }
+  for (const StoreRow& row : find(kCancellationTable))
+    this->scheduler->Cancel(row.key);
+  for (const StoreRow& row : find(kNodeTable)) {
+    const auto node = Decode<NodeRow>(row.value);
+    if (!node) {
+      ++damaged;
+      continue;
+    }
+    if (node.value().agent && this->lease.Epoch() > 1)
+      this->scheduler->ExpectWorker(row.key, now + kEarlierAuthority);
+    this->nodes.Add(row.key, node.value());
+  }
+  this->log->Write(
+      LogLine("planner_started")
+          .Add("epoch", this->lease.Epoch())
+          .Add("submissions", find(kSubmissionTable).size())
+          .Add("live", this->scheduler->LiveCount())
+          .Add("workers_to_hear", this->scheduler->UnresolvedCount())
+          .Add("damaged_rows", damaged)
+          .Add("load_ms", absl::ToDoubleMilliseconds(now - rows.started)));
+  this->next_repair = now + kRepairInterval;
+  this->next_waiting = absl::InfinitePast();
+  this->FollowNodes();
+  this->ScheduleRun();
+}
+
+void FleetPlanner::FollowNodes() {
+  this->store->Feed(
+      kNodeTable, this->feed_versions[kNodeTable], kNodeFeedWait,
+      [this, term = this->term](RowsReply&& reply) {
+        if (term != this->term)
+          return;
+        if (reply.error == PlatformError::kHistoryGone) {
+          // Rows that changed meanwhile are told again by a whole read.
+          this->store->Read(kNodeTable, "", 0, kReadTimeout,
+                            [this, term](RowsReply&& whole) {
+                              if (term != this->term)
+                                return;
+                              if (!whole.error)
+                                this->feed_versions[kNodeTable] = whole.version;
+                              for (const StoreRow& row : whole.rows) {
+                                const auto node = Decode<NodeRow>(row.value);
+                                if (node)
+                                  this->nodes.Add(row.key, node.value());
+                              }
+                              this->FollowNodes();
+                            });
+          return;
+        }
+        if (!reply.error) {
+          this->feed_versions[kNodeTable] = reply.version;
+          for (const StoreRow& row : reply.rows) {
+            const auto node = Decode<NodeRow>(row.value);
+            if (node && !row.deleted)
+              this->nodes.Add(row.key, node.value());
+          }
+          this->FollowNodes();
+          return;
+        }
+        auto pause = std::make_shared<boost::asio::steady_timer>(
+            *this->context, std::chrono::milliseconds(200));
+        pause->async_wait([this, term, pause](std::error_code error) {
+          if (!error && term == this->term)
+            this->FollowNodes();
+        });
+      });
+}
+
+void FleetPlanner::RepairFromFeeds(absl::Time now) {
+  if (now < this->next_repair)
+    return;
+  this->next_repair = now + kRepairInterval;
+  this->RepairTable(kSubmissionTable);
+  this->RepairTable(kCancellationTable);
+}
+
+void FleetPlanner::RepairTable(const std::string& table) {
+  if (!this->feeds_running.insert(table).second)
+    return;
+  const auto take = [this, table, term = this->term](RowsReply&& reply) {
+    if (term != this->term)
+      return;
+    this->feeds_running.erase(table);
+    if (reply.error == PlatformError::kHistoryGone) {
+      // Version 0 makes the next repair read the whole table.
+      this->feed_versions[table] = 0;
+      return;
+    }
+    if (reply.error)
+      return;
+    if (!reply.more)
+      this->feed_versions[table] = reply.version;
+    for (const StoreRow& row : reply.rows) {
+      if (table == kCancellationTable)
+        this->scheduler->Cancel(row.key);
+      else
+        this->TakeSubmissionRow(row);
+    }
+    if (!reply.rows.empty())
+      this->ScheduleRun();
+  };
+  if (this->feed_versions[table] == 0)
+    this->store->Read(table, "", 0, kReadTimeout, take);
+  else
+    this->store->Feed(table, this->feed_versions[table], absl::Milliseconds(1),
+                      take);
+}
+
+void FleetPlanner::TakeSubmissionRow(const StoreRow& row) {
+  if (this->scheduler->Knows(row.key))
+    return;
+  const auto submission = Decode<Submission>(row.value);
+  if (!submission) {
+    this->log->Write(LogLine("submission_row_damaged", LogLevel::kError)
+                         .Add("submission", row.key)
+                         .Add("error", submission.error()));
+    return;
+  }
+  // Its entry may have told an earlier planner that still reaches a worker
+  // which this one does not.
+  const bool certain = this->scheduler->UnresolvedCount() == 0;
+  this->scheduler->Add(submission.value(), std::nullopt, certain,
+                       BootClock().Now(), absl::Now());
+}
+
+void FleetPlanner::OnNodeMessage(const std::string& node,
+                                 FleetMessage&& message) {
+  const absl::Time now = BootClock().Now();
+  if (auto* notice = std::get_if<WorkerNotice>(&message)) {
+    this->OnWorkerNotice(node, std::move(*notice));
+  } else if (const auto* info = std::get_if<InfoNotice>(&message)) {
+    this->scheduler->UpdateInfo(node, info->info, info->alive);
+  } else if (const auto* refused = std::get_if<StartRefused>(&message)) {
+    this->log->Write(
+        LogLine("start_refused")
+            .Add("submission", refused->task.submission)
+            .Add("step", static_cast<uint64_t>(refused->task.step))
+            .Add("index", static_cast<uint64_t>(refused->task.index))
+            .Add("run", static_cast<uint64_t>(refused->run))
+            .Add("vm", node)
+            .Add("outcome", static_cast<uint64_t>(refused->outcome)));
+    this->scheduler->OnStartResult(node, refused->task, refused->run,
+                                   static_cast<StartOutcome>(refused->outcome),
+                                   now);
+  } else if (const auto* ends = std::get_if<EndNotices>(&message)) {
+    for (const EndedRun& end : ends->ends) {
+      this->ends_total.Add();
+      this->scheduler->OnEnded(node, end, now);
+      this->to_confirm[node] = {ends->born_ms, end.number};
+    }
+  } else if (const auto* accepted = std::get_if<AcceptedNotice>(&message)) {
+    const bool certain =
+        accepted->first || this->scheduler->UnresolvedCount() == 0;
+    this->scheduler->Add(accepted->submission, std::nullopt, certain, now,
+                         absl::Now());
+  } else if (const auto* cancelled = std::get_if<CancelledNotice>(&message)) {
+    this->scheduler->Cancel(cancelled->submission);
+  }
+  this->ScheduleRun();
+}
+
+void FleetPlanner::OnWorkerNotice(const std::string& node,
+                                  WorkerNotice&& notice) {
+  for (const EndedRun& end : notice.ended)
+    this->to_confirm[node] = {notice.info.born_ms, end.number};
+  const WorkerReport report{node, notice.info, notice.alive, notice.running,
+                            notice.ended};
+  this->log->Write(LogLine("worker_reported")
+                       .Add("vm", node)
+                       .Add("runner", notice.info.runner)
+                       .Add("born_ms", notice.info.born_ms)
+                       .Add("alive", notice.alive)
+                       .Add("draining", notice.info.draining)
+                       .Add("running", notice.running.size())
+                       .Add("ended", notice.ended.size()));
+  this->scheduler->Sync(report, BootClock().Now());
+  this->DescribeTo(node);
+}
+
+void FleetPlanner::DescribeTo(const std::string& node) {
+  const Worker* worker = this->scheduler->FindWorker(node);
+  DescribeRuns describe;
+  describe.epoch = this->lease.Epoch();
+  for (const auto& [task, placed] : worker->placed) {
+    if (!placed.fills && !placed.serves)
+      continue;
+    RunOrder order;
+    order.task = task;
+    order.run = placed.run;
+    order.fills = placed.fills;
+    order.latency_objective_ms = placed.latency_objective_ms;
+    describe.runs.push_back(std::move(order));
+  }
+  if (!describe.runs.empty())
+    this->nodes.Send(node, describe);
+}
+
+void FleetPlanner::ScheduleRun() {
+  if (std::exchange(this->run_scheduled, true))
+    return;
+  this->run_timer.expires_after(kRunDelay);
+  this->run_timer.async_wait([this](std::error_code error) {
+    this->run_scheduled = false;
+    if (!error && this->scheduler)
+      this->Run();
+  });
+}
+
+void FleetPlanner::Run() {
+  this->SendOrders(this->scheduler->Plan(BootClock().Now()));
+  const std::vector<StateChange> changes = this->scheduler->TakeChanges();
+  if (!changes.empty())
+    this->SendStates(changes);
+  this->Flush();
+}
+
+void FleetPlanner::SendOrders(const Orders& orders) {
+  std::map<std::string, StartRuns> starts;
+  std::map<std::string, StopRuns> stops;
+  const auto send = [this](const std::string& node, StartRuns* message) {
+    message->epoch = this->lease.Epoch();
+    this->nodes.Send(node, *message);
+    *message = {};
+  };
+  std::map<std::string, const std::string*> last_text;
+  for (const StopOrder& stop : orders.stops) {
+    this->stops_total.Add();
+    stops[stop.vm].runs.push_back({stop.task, stop.run});
+    this->log->Write(LogLine("stop")
+                         .Add("submission", stop.task.submission)
+                         .Add("step", static_cast<uint64_t>(stop.task.step))
+                         .Add("index", static_cast<uint64_t>(stop.task.index))
+                         .Add("run", static_cast<uint64_t>(stop.run))
+                         .Add("vm", stop.vm)
+                         .Add("reason", stop.reason));
+  }
+  for (auto& [node, message] : stops) {
+    message.epoch = this->lease.Epoch();
+    this->nodes.Send(node, message);
+  }
+  for (const StartOrder& start : orders.starts) {
+    this->starts_total.Add();
+    StartRuns& message = starts[start.vm];
+    if (message.runs.size() >= kMaxRunsInMessage)
+      send(start.vm, &message);
+    if (message.texts.empty() || last_text[start.vm] != start.text) {
+      message.texts.push_back(*start.text);
+      last_text[start.vm] = start.text;
+    }
+    RunOrder order;
+    order.task = start.task;
+    order.run = start.run;
+    order.checkpoint = start.checkpoint;
+    order.text = static_cast<uint32_t>(message.texts.size() - 1);
+    order.fills = start.step->fills;
+    order.latency_objective_ms = start.step->latency_objective_ms;
+    message.runs.push_back(std::move(order));
+    this->log->Write(LogLine("start")
+                         .Add("submission", start.task.submission)
+                         .Add("step", static_cast<uint64_t>(start.task.step))
+                         .Add("index", static_cast<uint64_t>(start.task.index))
+                         .Add("run", static_cast<uint64_t>(start.run))
+                         .Add("vm", start.vm)
+                         .Add("cost", start.cost));
+  }
+  for (auto& [node, message] : starts)
+    send(node, &message);
+}
+
+void FleetPlanner::Flush() {
+  const auto dirty = this->scheduler->TakeDirty();
+  if (dirty.empty() && this->to_confirm.empty())
+    return;
+  std::vector<StorePut> puts;
+  std::vector<StateChange> finished;
+  for (const auto& [id, progress] : dirty) {
+    puts.push_back({kProgressTable, id, Encode(progress)});
+    if (IsFinal(progress.state))
+      finished.push_back({id, progress.state});
+  }
+  auto confirms = std::exchange(this->to_confirm, {});
+  this->lease.Write(std::move(puts), [this, confirms = std::move(confirms),
+                                      finished = std::move(finished)] {
+    for (const auto& [node, end] : confirms)
+      this->nodes.Send(node,
+                       ConfirmEnds{this->lease.Epoch(), end.first, end.second});
+    for (const StateChange& change : finished) {
+      this->scheduler->MarkStored(change.submission, change.state);
+      this->log->Write(LogLine("submission_ended")
+                           .Add("submission", change.submission)
+                           .Add("state", ToString(change.state)));
+    }
+    if (!finished.empty())
+      this->SendStates(finished);
+  });
+}
+
+void FleetPlanner::SendStates(const std::vector<StateChange>& changes) {
+  StateNotices notices;
+  notices.epoch = this->lease.Epoch();
+  for (const StateChange& change : changes) {
+    notices.states.push_back(
+        {change.submission, static_cast<uint8_t>(change.state)});
+    if (notices.states.size() >= kMaxStatesInMessage) {
+      this->nodes.SendToEntries(notices);
+      notices.states.clear();
+    }
+  }
+  if (!notices.states.empty())
+    this->nodes.SendToEntries(notices);
+}
+
+void FleetPlanner::SendWaiting(absl::Time now) {
+  if (now < this->next_waiting)
+    return;
+  this->next_waiting = now + kWaitingInterval;
+  // Sent also when nothing changed: an entry trusts only fresh counts.
+  this->nodes.SendToEntries(
+      WaitingNotice{this->lease.Epoch(), this->scheduler->WaitingCounts()});
+}
+
+}  // namespace cuminjunction
--- /dev/null
+++ b/daemon/fleet_planner.h
@@ -0,0 +1,123 @@
+#ifndef DAEMON_FLEET_PLANNER_H_
+#define DAEMON_FLEET_PLANNER_H_
+
+// The planner of submissions in an entry: takes the lease when nobody plans,
+// reads what is stored, connects to all processes and carries out what the
+// Scheduler decides.
+//
+//   FleetPlanner planner(&context, &store, options, &log, &metrics);
+//   planner.SetPolicy(policy);
+//   planner.Tick(view);   // every 100 ms, with what the entry sees
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "base/log.h"
+#include "base/metrics.h"
+#include "daemon/fleet_message.h"
+#include "daemon/planner_lease.h"
+#include "daemon/planner_nodes.h"
+#include "platform/store.h"
+#include "submission/policy.h"
+#include "submission/scheduler.h"
+
+namespace cuminjunction {
+
+// What an entry sees of the planner in charge.
+struct PlannerView {
+  bool connected = false;
+  // When it was last heard, by the boot clock.
+  absl::Time last_ping = absl::InfinitePast();
+  // The highest epoch that the entry has seen.
+  uint64_t epoch = 0;
+  // It said that its commits fail.
+  bool store_trouble = false;
+};
+
+class FleetPlanner {
+ public:
+  // The pointers must outlive this object.
+  FleetPlanner(boost::asio::io_context* context,
+               Store* store,
+               const std::string& vm,
+               Log* log,
+               Metrics* metrics);
+
+  // Takes a configuration. Without one the process does not plan.
+  void SetPolicy(const FleetPolicy& policy);
+
+  // Claims the lease if nobody plans, and does what is due.
+  void Tick(const PlannerView& view);
+
+  // Stops planning so that another entry takes over at once.
+  void Shutdown(std::function<void()> done);
+
+  bool IsPlanning() const { return this->scheduler != nullptr; }
+
+ private:
+  struct LoadedRows;
+
+  bool ShouldClaim(const PlannerView& view, absl::Time now, bool* vacant);
+  void OnClaimed(uint64_t epoch);
+  void StepDown();
+  void LoadTable(const std::string& table,
+                 const std::string& from,
+                 std::shared_ptr<LoadedRows> rows);
+  void LoadNext(std::shared_ptr<LoadedRows> rows);
+  void OnLoaded(const LoadedRows& rows);
+  void FollowNodes();
+  void RepairFromFeeds(absl::Time now);
+  void RepairTable(const std::string& table);
+  void TakeSubmissionRow(const StoreRow& row);
+  void OnNodeMessage(const std::string& vm, FleetMessage&& message);
+  void OnWorkerNotice(const std::string& vm, WorkerNotice&& notice);
+  void DescribeTo(const std::string& vm);
+  void ScheduleRun();
+  void Run();
+  void SendOrders(const Orders& orders);
+  void Flush();
+  void SendStates(const std::vector<StateChange>& changes);
+  void SendWaiting(absl::Time now);
+  absl::Duration Grant(absl::Time now) const;
+  bool InTrouble(absl::Time now) const;
+
+  boost::asio::io_context* context;
+  Store* store;
+  std::string vm;
+  Log* log;
+  Counter& starts_total;
+  Counter& stops_total;
+  Counter& ends_total;
+  Counter& takeovers_total;
+  FleetPolicy policy;
+  PlannerNodes nodes;
+  PlannerLease lease;
+  boost::asio::steady_timer run_timer;
+  bool run_scheduled = false;
+  bool stopping = false;
+  // Grows with each term, so that answers to calls of an earlier one are
+  // ignored.
+  uint64_t term = 0;
+  absl::Time lost_since = absl::InfinitePast();
+  // Set while this process plans.
+  std::unique_ptr<Scheduler> scheduler;
+  std::map<std::string, int64_t> feed_versions;
+  std::set<std::string> feeds_running;
+  absl::Time next_repair = absl::InfinitePast();
+  absl::Time next_waiting = absl::InfinitePast();
+  // Ends to confirm by VM: the runner's life and the number.
+  std::map<std::string, std::pair<int64_t, uint64_t>> to_confirm;
+};
+
+}  // namespace cuminjunction
+
+#endif  // DAEMON_FLEET_PLANNER_H_
--- a/daemon/peer_net.cc
+++ b/daemon/peer_net.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "base/tagged.h"
+
 namespace cuminjunction {
 
 namespace {
@@ -10,19 +12,6 @@
 
 constexpr size_t kMaxConnections = 2048;
 
-template <size_t I = 0>
-Result<PeerMessage> DecodeAs(size_t tag, std::string_view bytes) {
-  if constexpr (I < std::variant_size_v<PeerMessage>) {
-    if (tag != I)
-      return DecodeAs<I + 1>(tag, bytes);
-    using T = std::variant_alternative_t<I, PeerMessage>;
-    BOOST_OUTCOME_TRY(message, Decode<T>(bytes));
-    return PeerMessage(std::move(message));
-  } else {
-    return PeerError::kUnknownTag;
-  }
-}
-
 }  // namespace
 
 std::string_view ErrorTraits<PeerError>::Message(PeerError error) {
@@ -36,15 +25,11 @@
 }
 
 std::string EncodePeerMessage(const PeerMessage& message) {
-  std::string payload(1, static_cast<char>(message.index()));
-  std::visit([&](const auto& body) { payload += Encode(body); }, message);
-  return payload;
+  return EncodeTagged(message);
 }
 
 Result<PeerMessage> DecodePeerMessage(std::string_view payload) {
-  if (payload.empty())
-    return PeerError::kUnknownTag;
-  return DecodeAs(static_cast<uint8_t>(payload[0]), payload.substr(1));
+  return DecodeTagged<PeerMessage>(payload, PeerError::kUnknownTag);
 }
 
 PeerNet::PeerNet(EventThread* thread, Metrics* metrics, Handler handler)
--- /dev/null
+++ b/daemon/policy_follower.cc
@@ -0,0 +1,99 @@
+#include "daemon/policy_follower.h"
+
+#include <chrono>
+#include <utility>
+
+#include "base/time.h"
+#include "platform/bodies.h"
+
+namespace cuminjunction {
+
+namespace {
+
+// A connection that fell silent is noticed after this and a little more, which
+// leaves time to read a change within the 2.5 s that it may take.
+constexpr absl::Duration kFeedWait = absl::Milliseconds(1000);
+constexpr absl::Duration kReadTimeout = absl::Milliseconds(800);
+constexpr std::chrono::milliseconds kRetryPause(100);
+
+}  // namespace
+
+PolicyFollower::PolicyFollower(boost::asio::io_context* context,
+                               Store* store,
+                               Log* log,
+                               Handler handler)
+    : store(store), log(log), handler(std::move(handler)), timer(*context) {}
+
+void PolicyFollower::Start() {
+  this->Read();
+}
+
+void PolicyFollower::Read() {
+  this->store->ReadConfiguration(kReadTimeout, [this](RowsReply&& reply) {
+    if (reply.error) {
+      this->OnError(reply.error);
+      return;
+    }
+    this->OnAnswer();
+    this->version = reply.version;
+    this->Take(reply.rows);
+    this->Follow();
+  });
+}
+
+void PolicyFollower::Follow() {
+  this->store->FeedConfiguration(this->version, kFeedWait,
+                                 [this](RowsReply&& reply) {
+                                   if (reply.error) {
+                                     this->OnError(reply.error);
+                                     return;
+                                   }
+                                   this->OnAnswer();
+                                   this->version = reply.version;
+                                   this->Take(reply.rows);
+                                   this->Follow();
+                                 });
+}
+
+void PolicyFollower::OnAnswer() {
+  this->last_answer = BootClock().Now();
+  if (std::exchange(this->store_lost, false))
+    this->log->Write(LogLine("store_regained"));
+}
+
+void PolicyFollower::OnError(std::error_code error) {
+  if (!std::exchange(this->store_lost, true))
+    this->log->Write(
+        LogLine("store_lost", LogLevel::kWarning).Add("error", error));
+  // Changes may have been missed, so the configuration is read whole.
+  this->timer.expires_after(kRetryPause);
+  this->timer.async_wait([this](std::error_code cancelled) {
+    if (!cancelled)
+      this->Read();
+  });
+}
+
+void PolicyFollower::Take(const std::vector<StoreRow>& rows) {
+  for (const StoreRow& row : rows) {
+    if (!Store::IsConfiguration(row))
+      continue;
+    auto parsed = ParsePolicy(row.value);
+    if (!parsed) {
+      this->log->Write(LogLine("configuration_damaged", LogLevel::kError)
+                           .Add("row_version", row.version)
+                           .Add("error", parsed.error()));
+      continue;
+    }
+    // Never back to an older version.
+    if (parsed.value().version <= this->policy.version)
+      continue;
+    this->log->Write(LogLine("configuration_taken")
+                         .Add("version", parsed.value().version)
+                         .Add("previous", this->policy.version)
+                         .Add("queues", parsed.value().queues.size()));
+    this->policy = std::move(parsed.value());
+    this->handler(this->policy);
+  }
+}
+
+}  // namespace cuminjunction
--- /dev/null
+++ b/daemon/policy_follower.h
@@ -0,0 +1,60 @@
+#ifndef DAEMON_POLICY_FOLLOWER_H_
+#define DAEMON_POLICY_FOLLOWER_H_
+
+// Follows the operator's configuration in the platform's store.
+//
+//   PolicyFollower follower(&context, &store, &log, [](const FleetPolicy&
+//   policy) {
+//     ...                                          // a higher version
+//   });
+//   follower.Start();
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "base/log.h"
+#include "platform/store.h"
+#include "submission/policy.h"
+
+namespace cuminjunction {
+
+class PolicyFollower {
+ public:
+  using Handler = std::function<void(const FleetPolicy& policy)>;
+
+  // The pointers must outlive this object.
+  PolicyFollower(boost::asio::io_context* context,
+                 Store* store,
+                 Log* log,
+                 Handler handler);
+
+  void Start();
+
+  const FleetPolicy& Policy() const { return this->policy; }
+  // When the store last answered, by the boot clock.
+  absl::Time LastAnswer() const { return this->last_answer; }
+
+ private:
+  void Read();
+  void Follow();
+  void Take(const std::vector<StoreRow>& rows);
+  void OnError(std::error_code error);
+  void OnAnswer();
+
+  Store* store;
+  Log* log;
+  Handler handler;
+  boost::asio::steady_timer timer;
+  FleetPolicy policy;
+  int64_t version = 0;
+  bool store_lost = false;
+  absl::Time last_answer = absl::InfinitePast();
+};
+
+}  // namespace cuminjunction
+
+#endif  // DAEMON_POLICY_FOLLOWER_H_
--- /dev/null
+++ b/daemon/runner_guard.cc
@@ -0,0 +1,484 @@
+#include "daemon/runner_guard.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/time.h"
+
+namespace cuminjunction {
+
+namespace {
+
+// The runner's clock may be 2% slow: a lease of its clock lasts up to this much
+// longer.
+constexpr double kRunnerClockRate = 0.98;
+
+// Share of the remaining grant that is passed on, which leaves room for the
+// rate of the runner's clock and the time of a call.
+constexpr double kPassedOn = 0.95;
+
+// Grants with less left than this are not used for new tasks.
+constexpr absl::Duration kMinAuthority = absl::Milliseconds(300);
+
+// How long a call waits for an end. The lease is extended with each call, and
+// pacing needs the figures of each half second.
+constexpr absl::Duration kWait = absl::Milliseconds(900);
+constexpr absl::Duration kPacingWait = absl::Milliseconds(400);
+
+// Pause between calls while ends wait for their confirmation, when the runner
+// answers at once.
+constexpr absl::Duration kUnconfirmedPause = absl::Milliseconds(120);
+
+constexpr absl::Duration kRetryPause = absl::Milliseconds(80);
+
+// Added to the fence when the runner has seen a higher one: more than two
+// agents on one VM can start apart, also when the clock is set back.
+constexpr int64_t kFenceStepMs = 60000;
+
+}  // namespace
+
+RunnerGuard::RunnerGuard(boost::asio::io_context* context,
+                         Runner* runner,
+                         const RunnerGuardOptions& options,
+                         Log* log,
+                         Metrics* metrics,
+                         RunnerGuardHandlers handlers)
+    : context(context),
+      runner(runner),
+      options(options),
+      log(log),
+      handlers(std::move(handlers)),
+      lapses_total(metrics->GetCounter("runner_lost_total")),
+      hold_timer(*context),
+      fence(absl::ToUnixMillis(absl::Now())),
+      // An agent before this one may have given the longest lease just now.
+      lease_end(BootClock().Now() + options.max_lease / kRunnerClockRate) {}
+
+void RunnerGuard::Begin() {
+  this->Hold();
+}
+
+void RunnerGuard::Close() {
+  *this->open = false;
+  this->hold_timer.cancel();
+}
+
+void RunnerGuard::SetAuthority(absl::Time end) {
+  this->authority = end;
+}
+
+void RunnerGuard::After(absl::Duration pause, std::function<void()> action) {
+  auto timer = std::make_shared<boost::asio::steady_timer>(
+      *this->context, absl::ToChronoMicroseconds(pause));
+  timer->async_wait([timer, open = this->open,
+                     action = std::move(action)](std::error_code error) {
+    if (!error && *open)
+      action();
+  });
+}
+
+void RunnerGuard::TakeClock(const OrderReply& reply, absl::Time now) {
+  if (reply.clock_ms == 0)
+    return;
+  this->clock_ms = reply.clock_ms;
+  this->clock_at = now;
+}
+
+std::optional<int64_t> RunnerGuard::LeaseUntilMs(absl::Time now) {
+  const absl::Duration left = this->authority - now;
+  if (this->clock_ms == 0 || left <= absl::ZeroDuration())
+    return std::nullopt;
+  const absl::Duration lease =
+      std::min(left, this->options.max_lease) * kPassedOn;
+  this->lease_end = std::max(this->lease_end, now + lease / kRunnerClockRate);
+  // The least that the runner's clock can show now, so that the lease does not
+  // last longer than intended.
+  const absl::Duration passed = (now - this->clock_at) * kRunnerClockRate;
+  return this->clock_ms + absl::ToInt64Milliseconds(passed + lease);
+}
+
+absl::Duration RunnerGuard::WaitFor() const {
+  bool fills = false;
+  bool serves = false;
+  for (const auto& [task, figure] : this->running) {
+    const auto found = this->descriptions.find(task);
+    if (found == this->descriptions.end())
+      continue;
+    fills = fills || found->second.fills;
+    serves = serves || found->second.latency_objective_ms > 0;
+  }
+  return fills && serves ? kPacingWait : kWait;
+}
+
+void RunnerGuard::HoldAfter(absl::Duration pause) {
+  this->hold_timer.expires_after(absl::ToChronoMicroseconds(pause));
+  this->hold_timer.async_wait([this](std::error_code error) {
+    if (!error)
+      this->Hold();
+  });
+}
+
+void RunnerGuard::Hold() {
+  if (this->holding)
+    return;
+  this->holding = true;
+  const absl::Time now = BootClock().Now();
+  this->hold_sent = now;
+  RunnerHold hold;
+  hold.fence = this->fence;
+  hold.last_confirmed = this->confirmed;
+  hold.lease_until_ms = this->LeaseUntilMs(now);
+  // With ends in the list the runner may answer at once; without contact there
+  // is nothing to wait for.
+  if (this->ended.empty() && this->alive)
+    hold.wait_ms = absl::ToInt64Milliseconds(this->WaitFor());
+  this->runner->Hold(hold, [this, open = this->open](RunnerReport&& report) {
+    if (!*open)
+      return;
+    this->holding = false;
+    this->OnReport(std::move(report));
+  });
+}
+
+void RunnerGuard::OnReport(RunnerReport&& report) {
+  const absl::Time now = BootClock().Now();
+  this->TakeClock(report.order, now);
+  if (report.order.result == OrderResult::kFenced) {
+    this->RaiseFence();
+    this->HoldAfter(absl::ZeroDuration());
+    return;
+  }
+  if (report.order.result != OrderResult::kDone) {
+    this->OnSilence(now);
+    this->HoldAfter(kRetryPause);
+    return;
+  }
+  if (report.order.born_ms != this->born_ms)
+    this->NewLife(report.order.born_ms);
+  const bool first = !this->known || !this->alive;
+  this->known = true;
+  this->alive = true;
+  this->TakeLists(std::move(report), first);
+  if (first)
+    this->handlers.on_changed();
+  this->StopUncovered(now);
+  this->PaceFillers(now);
+  this->HoldAfter(this->ended.empty() ? absl::ZeroDuration()
+                                      : kUnconfirmedPause);
+}
+
+void RunnerGuard::TakeLists(RunnerReport&& report, bool first) {
+  const auto before = std::exchange(this->running, {});
+  for (RunningFigure& figure : report.running) {
+    const TaskRef task = figure.running.task;
+    this->running[task] = std::move(figure);
+  }
+  std::vector<EndedRun> fresh;
+  this->ended.clear();
+  for (EndedRun& end : report.ended) {
+    if (end.number <= this->confirmed)
+      continue;
+    if (end.number > this->reported) {
+      this->reported = end.number;
+      fresh.push_back(end);
+      this->descriptions.erase(end.task);
+    }
+    this->ended.push_back(std::move(end));
+  }
+  if (!first)
+    this->StopUnexpected(before);
+  this->SettleStarts();
+  if (!fresh.empty())
+    this->handlers.on_ended(this->born_ms, std::move(fresh));
+}
+
+void RunnerGuard::StopUnexpected(
+    const std::map<TaskRef, RunningFigure>& before) {
+  for (const auto& [task, figure] : this->running) {
+    const uint32_t run = figure.running.run;
+    const auto old = before.find(task);
+    const auto pending = this->starting.find(task);
+    if ((old != before.end() && old->second.running.run == run) ||
+        (pending != this->starting.end() && pending->second.order.run == run))
+      continue;
+    // An order that was given up has been carried out after all.
+    this->log->Write(LogLine("unexpected_run", LogLevel::kWarning)
+                         .Add("submission", task.submission)
+                         .Add("step", static_cast<uint64_t>(task.step))
+                         .Add("index", static_cast<uint64_t>(task.index))
+                         .Add("run", static_cast<uint64_t>(run)));
+    this->SendStop(task, run, false);
+  }
+}
+
+void RunnerGuard::SettleStarts() {
+  std::erase_if(this->starting, [&](const auto& entry) {
+    // A list that was asked for before the start may not have it yet.
+    return entry.second.accepted < this->hold_sent;
+  });
+}
+
+void RunnerGuard::NewLife(int64_t born) {
+  if (this->born_ms != 0) {
+    this->log->Write(LogLine("runner_restarted", LogLevel::kWarning)
+                         .Add("born_ms", born)
+                         .Add("previous_born_ms", this->born_ms)
+                         .Add("lost_runs", this->running.size()));
+  }
+  this->born_ms = born;
+  this->reported = 0;
+  this->confirmed = 0;
+  // A whole report follows, so the runner counts as lost until then.
+  this->alive = false;
+  const auto pending = std::exchange(this->starting, {});
+  this->LoseAll();
+  // Copies of these orders may reach the new life; it refuses stopped runs.
+  for (const auto& [task, start] : pending)
+    this->SendStop(task, start.order.run, false);
+}
+
+void RunnerGuard::LoseAll() {
+  this->running.clear();
+  this->ended.clear();
+  this->starting.clear();
+  this->descriptions.clear();
+}
+
+void RunnerGuard::OnSilence(absl::Time now) {
+  if (now < this->lease_end || (this->known && !this->alive))
+    return;
+  // All that ran has lapsed by itself.
+  this->log->Write(LogLine("runner_lost", LogLevel::kWarning)
+                       .Add("born_ms", this->born_ms)
+                       .Add("lost_runs", this->running.size())
+                       .Add("pending_starts", this->starting.size()));
+  this->lapses_total.Add();
+  this->known = true;
+  this->alive = false;
+  this->LoseAll();
+  this->handlers.on_changed();
+}
+
+void RunnerGuard::OnRunnerLeft() {
+  this->log->Write(LogLine("runner_left")
+                       .Add("born_ms", this->born_ms)
+                       .Add("lost_runs", this->running.size()));
+}
+
+void RunnerGuard::RaiseFence() {
+  this->fence =
+      std::max(this->fence + kFenceStepMs, absl::ToUnixMillis(absl::Now()));
+  this->log->Write(LogLine("fence_raised").Add("fence", this->fence));
+}
+
+std::vector<ActiveRun> RunnerGuard::Running() const {
+  std::vector<ActiveRun> runs;
+  for (const auto& [task, figure] : this->running)
+    runs.push_back(figure.running);
+  for (const auto& [task, start] : this->starting) {
+    if (!this->running.contains(task))
+      runs.push_back({task, start.order.run, start.order.checkpoint, 0});
+  }
+  return runs;
+}
+
+void RunnerGuard::Describe(const RunOrder& order) {
+  Known& known_run = this->descriptions[order.task];
+  known_run.fills = order.fills;
+  known_run.latency_objective_ms = order.latency_objective_ms;
+}
+
+void RunnerGuard::Start(const RunOrder& order, const std::string& text) {
+  const absl::Time now = BootClock().Now();
+  if (!this->alive || this->authority - now < kMinAuthority) {
+    this->handlers.on_refused(order.task, order.run, StartOutcome::kRefused);
+    return;
+  }
+  this->Describe(order);
+  PendingStart pending;
+  pending.order = order;
+  pending.text = text;
+  this->starting[order.task] = std::move(pending);
+  this->TryStart(order.task);
+}
+
+void RunnerGuard::TryStart(const TaskRef& task) {
+  const PendingStart& pending = this->starting.at(task);
+  const auto until = this->LeaseUntilMs(BootClock().Now());
+  if (!until) {
+    this->GiveUp(task, StartOutcome::kRefused);
+    return;
+  }
+  RunnerStart start;
+  start.task = task;
+  start.run = pending.order.run;
+  start.text = pending.text;
+  start.checkpoint = pending.order.checkpoint;
+  start.lease_until_ms = *until;
+  start.fence = this->fence;
+  this->runner->Start(start, [this, open = this->open, task,
+                              run = start.run](OrderReply&& reply) {
+    if (*open)
+      this->OnStartReply(task, run, std::move(reply));
+  });
+}
+
+void RunnerGuard::RetryStart(const TaskRef& task, uint32_t run) {
+  this->After(kRetryPause, [this, task, run] {
+    const auto found = this->starting.find(task);
+    if (found != this->starting.end() && found->second.order.run == run)
+      this->TryStart(task);
+  });
+}
+
+void RunnerGuard::OnStartReply(const TaskRef& task,
+                               uint32_t run,
+                               OrderReply&& reply) {
+  this->TakeClock(reply, BootClock().Now());
+  const auto found = this->starting.find(task);
+  if (found == this->starting.end() || found->second.order.run != run)
+    return;
+  PendingStart& pending = found->second;
+  switch (reply.result) {
+    case OrderResult::kDone:
+      pending.accepted = BootClock().Now();
+      if (pending.abandoned)
+        this->SendStop(task, run, false);
+      return;
+    case OrderResult::kUnknownOutcome:
+      pending.maybe = true;
+      this->RetryStart(task, run);
+      return;
+    case OrderResult::kFenced:
+      this->RaiseFence();
+      this->RetryStart(task, run);
+      return;
+    case OrderResult::kLate:
+      this->RetryStart(task, run);
+      return;
+    case OrderResult::kNoRoom:
+      this->GiveUp(task, StartOutcome::kNoRoom);
+      return;
+    case OrderResult::kOldRun:
+      // With a lost answer before, the run may have started and ended; its end
+      // is in the list then.
+      this->starting.erase(found);
+      this->handlers.on_refused(task, run, StartOutcome::kOldRun);
+      return;
+    default:
+      this->GiveUp(task, StartOutcome::kRefused);
+      return;
+  }
+}
+
+void RunnerGuard::GiveUp(const TaskRef& task, StartOutcome outcome) {
+  const auto found = this->starting.find(task);
+  PendingStart& pending = found->second;
+  const uint32_t run = pending.order.run;
+  if (pending.maybe) {
+    // A copy of the order may still be carried out; once the run is stopped the
+    // runner refuses it.
+    pending.abandoned = outcome;
+    this->SendStop(task, run, true);
+    return;
+  }
+  this->starting.erase(found);
+  this->descriptions.erase(task);
+  this->handlers.on_refused(task, run, outcome);
+}
+
+void RunnerGuard::Stop(const TaskRef& task, uint32_t run) {
+  const auto found = this->starting.find(task);
+  if (found != this->starting.end() && found->second.order.run == run)
+    found->second.abandoned = StartOutcome::kRefused;
+  this->SendStop(task, run, false);
+}
+
+void RunnerGuard::SendStop(const TaskRef& task, uint32_t run, bool report) {
+  this->runner->Stop(
+      task, run, this->fence,
+      [this, open = this->open, task, run, report](OrderReply&& reply) {
+        if (!*open)
+          return;
+        this->TakeClock(reply, BootClock().Now());
+        if (reply.result == OrderResult::kFenced)
+          this->RaiseFence();
+        const bool again = reply.result == OrderResult::kUnknownOutcome ||
+                           reply.result == OrderResult::kNotSent ||
+                           reply.result == OrderResult::kUnhealthy ||
+                           reply.result == OrderResult::kFenced;
+        if (again && this->alive) {
+          this->After(kRetryPause, [this, task, run, report] {
+            this->SendStop(task, run, report);
+          });
+          return;
+        }
+        if (!report)
+          return;
+        const auto found = this->starting.find(task);
+        if (found == this->starting.end() || found->second.order.run != run)
+          return;
+        const StartOutcome outcome =
+            found->second.abandoned.value_or(StartOutcome::kRefused);
+        this->starting.erase(found);
+        // If it ran after all, its end is in the list and comes first.
+        if (!this->running.contains(task))
+          this->handlers.on_refused(task, run, outcome);
+      });
+}
+
+void RunnerGuard::ConfirmEnds(int64_t born, uint64_t up_to) {
+  if (born != this->born_ms || up_to <= this->confirmed)
+    return;
+  this->confirmed = up_to;
+  std::erase_if(this->ended,
+                [&](const EndedRun& end) { return end.number <= up_to; });
+  if (!this->holding)
+    this->HoldAfter(absl::ZeroDuration());
+}
+
+void RunnerGuard::StopUncovered(absl::Time now) {
+  if (this->authority >= now || this->authority == absl::InfinitePast())
+    return;
+  // A suspended VM may wake with a lease of the runner's clock that outlasts
+  // the grant.
+  for (const auto& [task, figure] : this->running)
+    this->SendStop(task, figure.running.run, false);
+}
+
+void RunnerGuard::PaceFillers(absl::Time now) {
+  double worst = 0;
+  for (const auto& [task, figure] : this->running) {
+    const auto found = this->descriptions.find(task);
+    if (found != this->descriptions.end() &&
+        found->second.latency_objective_ms > 0)
+      worst = std::max(
+          worst, figure.figure /
+                     static_cast<double>(found->second.latency_objective_ms));
+  }
+  const int percent = this->pacer.Next(worst, now);
+  for (const auto& [task, figure] : this->running) {
+    const auto found = this->descriptions.find(task);
+    if (found == this->descriptions.end() || !found->second.fills ||
+        found->second.percent == percent)
+      continue;
+    found->second.percent = percent;
+    this->log->Write(LogLine("pace")
+                         .Add("submission", task.submission)
+                         .Add("step", static_cast<uint64_t>(task.step))
+                         .Add("index", static_cast<uint64_t>(task.index))
+                         .Add("percent", percent)
+                         .Add("worst_tail_share", worst));
+    this->runner->Pace(task, figure.running.run, percent, this->fence,
+                       [this, open = this->open, task](OrderReply&& reply) {
+                         if (!*open || reply.result == OrderResult::kDone)
+                           return;
+                         // Sent again with the next report.
+                         const auto changed = this->descriptions.find(task);
+                         if (changed != this->descriptions.end())
+                           changed->second.percent = -1;
+                       });
+  }
+}
+
+}  // namespace cuminjunction
--- a/daemon/settings.cc
+++ b/daemon/settings.cc
@@ -93,6 +93,46 @@
   return seeds;
 }
 
+Endpoint ReadEndpoint(YamlMap* map, const std::string& key) {
+  const std::string text = map->String(key, "");
+  if (text.empty())
+    return {};
+  const auto endpoint = ParseEndpoint(text);
+  if (endpoint)
+    return endpoint.value();
+  map->Problem(endpoint.error(), key, "HOST:PORT is expected");
+  return {};
+}
+
+FleetSettings ReadFleet(YamlMap map) {
+  FleetSettings fleet;
+  fleet.store = ReadEndpoint(&map, "store");
+  fleet.submissions = ReadEndpoint(&map, "submissions");
+  fleet.ready = ReadEndpoint(&map, "ready");
+  fleet.heartbeats = ReadEndpoint(&map, "heartbeats");
+  fleet.runner = ReadEndpoint(&map, "runner");
+  fleet.metrics.port = Port(&map, "metrics_port");
+  fleet.max_lease_ms = map.Int("max_lease_ms", fleet.max_lease_ms, 500, 600000);
+  fleet.stop_grace_ms =
+      map.Int("stop_grace_ms", fleet.stop_grace_ms, 1000, 600000);
+  map.Finish();
+  return fleet;
+}
+
+void CheckFleet(const Settings& settings, YamlMap* map) {
+  const bool entry = settings.role == Role::kEntry;
+  if (entry &&
+      (settings.fleet.submissions.port == 0 || settings.fleet.ready.port == 0))
+    map->Problem(YamlError::kMissingKey, "fleet",
+                 "an entry needs submissions and ready");
+  if (!entry &&
+      (settings.fleet.heartbeats.port == 0 || settings.fleet.runner.port == 0))
+    map->Problem(YamlError::kMissingKey, "fleet",
+                 "an agent needs heartbeats and runner");
+  if (settings.listen.peer_port == 0)
+    map->Problem(YamlError::kMissingKey, "listen", "peer_port is needed");
+}
+
 void CheckRole(const Settings& settings, YamlMap* map) {
   if (settings.role == Role::kEntry && settings.platform.table_url.empty())
     map->Problem(YamlError::kMissingKey, "platform",
@@ -138,7 +178,11 @@
       map.Int("max_connections", settings.max_connections, 1, 1 << 20);
   settings.upstream = ReadUpstream(map.Map("upstream"));
   settings.worker = ReadWorker(map.Map("worker"));
-  CheckRole(settings, &map);
+  settings.fleet = ReadFleet(map.Map("fleet"));
+  if (settings.fleet.IsSet())
+    CheckFleet(settings, &map);
+  else
+    CheckRole(settings, &map);
   map.Finish();
   if (problems->size() > before)
     return (*problems)[before].code;
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -71,6 +71,29 @@
   bool operator==(const WorkerSettings&) const = default;
 };
 
+// The users' platform, on which submissions are taken at run time. Without a
+// store address the process serves requests instead.
+struct FleetSettings {
+  Endpoint store;
+  // Where callers hand in submissions, and where the platform asks whether the
+  // entry is ready (entry).
+  Endpoint submissions;
+  Endpoint ready;
+  // Where the runner's heartbeats arrive, and where the runner takes orders
+  // (agent).
+  Endpoint heartbeats;
+  Endpoint runner;
+  // Metrics for operators; port 0 without.
+  Endpoint metrics;
+  // The longest lease that a runner takes, in milliseconds.
+  int64_t max_lease_ms = 6000;
+  // Time from SIGTERM until the process is killed, in milliseconds.
+  int64_t stop_grace_ms = 6000;
+
+  bool operator==(const FleetSettings&) const = default;
+  bool IsSet() const { return this->store.port != 0; }
+};
+
 struct Settings {
   std::string name;
   Role role = Role::kEntry;
@@ -92,6 +115,7 @@
   int64_t max_connections = 4096;
   UpstreamSettings upstream;
   WorkerSettings worker;
+  FleetSettings fleet;
 
   bool operator==(const Settings&) const = default;
 };
--- /dev/null
+++ b/submission/scheduler_plan.cc
@@ -0,0 +1,254 @@
+#include <algorithm>
+
+#include "submission/place.h"
+#include "submission/scheduler.h"
+
+namespace cuminjunction {
+
+namespace {
+
+// How long room is kept for a task that lasts after others were stopped for
+// it: longer than a stop takes on either site (900 ms).
+constexpr absl::Duration kReservation = absl::Seconds(2);
+
+}  // namespace
+
+// A step of one occurrence that has tasks to start.
+struct Scheduler::Candidate {
+  ActiveSubmission* job = nullptr;
+  uint32_t occurrence = 0;
+  uint32_t step = 0;
+  Rank rank;
+
+  StepSlots& Slots() const {
+    return this->job->occurrences[this->occurrence].steps[this->step];
+  }
+  const Step& Spec() const { return this->job->submission.steps[this->step]; }
+  TaskRef Task(uint32_t index) const {
+    return {this->job->submission.id, this->occurrence, this->step, index};
+  }
+};
+
+Orders Scheduler::Plan(absl::Time now) {
+  Orders orders;
+  this->AddOccurrences(now);
+  this->StopUnwanted(&orders);
+  std::vector<Candidate> candidates = this->Candidates(now);
+  std::stable_sort(
+      candidates.begin(), candidates.end(),
+      [](const Candidate& a, const Candidate& b) { return a.rank < b.rank; });
+  for (Candidate& candidate : candidates) {
+    if (candidate.Spec().gang)
+      this->StartGang(&candidate, &orders, now);
+    else
+      this->StartStep(&candidate, &orders, now);
+  }
+  return orders;
+}
+
+void Scheduler::AddOccurrences(absl::Time now) {
+  for (const std::string& id : this->live) {
+    ActiveSubmission* job = this->FindActive(id);
+    if (job->submission.scheduled)
+      AddDueOccurrences(job, /*certain=*/true, now);
+  }
+}
+
+void Scheduler::StopUnwanted(Orders* orders) {
+  for (StopOrder& stop : this->unwanted) {
+    Worker& worker = this->MakeWorker(stop.vm);
+    // A worker that is away is told when it reports.
+    if (!worker.synced)
+      continue;
+    const auto placed = worker.placed.find(stop.task);
+    if (placed != worker.placed.end())
+      placed->second.stopping = true;
+    orders->stops.push_back(std::move(stop));
+  }
+  this->unwanted.clear();
+}
+
+std::vector<Scheduler::Candidate> Scheduler::Candidates(absl::Time now) {
+  std::vector<Candidate> candidates;
+  for (const std::string& id : this->live) {
+    ActiveSubmission* job = this->FindActive(id);
+    for (uint32_t number = 0; number < job->occurrences.size(); ++number) {
+      const OccurrenceSlots& occurrence = job->occurrences[number];
+      if (occurrence.steps_done == occurrence.steps.size())
+        continue;
+      std::optional<Rank> rank;
+      for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+        if (occurrence.steps[step].Idle() == 0 ||
+            !IsReady(*job, occurrence, step))
+          continue;
+        if (!rank)
+          rank = RankOf(FactsOf(*job, occurrence, now));
+        candidates.push_back({job, number, step, *rank});
+      }
+    }
+  }
+  return candidates;
+}
+
+bool Scheduler::MayStart(const TaskSlot& slot, absl::Time now) const {
+  return slot.phase == TaskPhase::kIdle && slot.not_before <= now &&
+         (slot.certain || this->unresolved.empty());
+}
+
+Worker* Scheduler::Choose(const Candidate& candidate,
+                          const TaskSlot& slot,
+                          absl::Time now,
+                          double* cost) {
+  std::map<std::string, uint32_t> same_step;
+  PlacementNeed need;
+  need.service = candidate.job->queue.service;
+  for (const TaskSlot& other : candidate.Slots().tasks) {
+    if (other.phase != TaskPhase::kPlaced)
+      continue;
+    ++same_step[other.vm];
+    if (candidate.Spec().single_rack && need.rack.empty())
+      need.rack = RackOf(this->MakeWorker(other.vm).info);
+  }
+  Worker* best = nullptr;
+  for (auto& [vm, worker] : this->workers) {
+    const auto same = same_step.find(vm);
+    need.same_step = same == same_step.end() ? 0 : same->second;
+    need.failed_here = slot.failed_vm == vm;
+    const auto found = PlacementCost(candidate.Spec(), need, *worker, now);
+    if (found && (best == nullptr || *found < *cost)) {
+      best = worker.get();
+      *cost = *found;
+    }
+  }
+  return best;
+}
+
+void Scheduler::StartStep(Candidate* candidate,
+                          Orders* orders,
+                          absl::Time now) {
+  StepSlots& slots = candidate->Slots();
+  for (uint32_t index = 0; index < slots.tasks.size(); ++index) {
+    TaskSlot& slot = slots.tasks[index];
+    if (!this->MayStart(slot, now))
+      continue;
+    double cost = 0;
+    Worker* worker = this->Choose(*candidate, slot, now, &cost);
+    if (worker == nullptr) {
+      if (candidate->Spec().long_running)
+        this->Preempt(*candidate, orders, now);
+      return;
+    }
+    this->Order(candidate, index, worker, slot.run + 1, cost, orders, now);
+  }
+}
+
+void Scheduler::StartGang(Candidate* candidate,
+                          Orders* orders,
+                          absl::Time now) {
+  StepSlots& slots = candidate->Slots();
+  // A gang starts whole, under one run number above all that were used.
+  uint32_t run = 0;
+  for (const TaskSlot& slot : slots.tasks) {
+    if (!this->MayStart(slot, now))
+      return;
+    run = std::max(run, slot.run + 1);
+  }
+  std::vector<std::pair<Worker*, double>> chosen;
+  for (uint32_t index = 0; index < slots.tasks.size(); ++index) {
+    double cost = 0;
+    Worker* worker = this->Choose(*candidate, slots.tasks[index], now, &cost);
+    if (worker == nullptr)
+      break;
+    chosen.emplace_back(worker, cost);
+    // Counted at once, so that the next member finds the room that is left.
+    this->Place(candidate->job, candidate->Task(index), &slots.tasks[index],
+                worker, run, now);
+  }
+  for (uint32_t index = 0; index < chosen.size(); ++index) {
+    const TaskRef task = candidate->Task(index);
+    Vacate(chosen[index].first, task);
+    this->Release(candidate->job, task, &slots.tasks[index]);
+  }
+  if (chosen.size() < slots.tasks.size())
+    return;
+  // Every member of a gang resumes from the same point.
+  const std::string checkpoint = slots.tasks.front().checkpoint;
+  for (uint32_t index = 0; index < chosen.size(); ++index) {
+    slots.tasks[index].checkpoint = checkpoint;
+    this->Order(candidate, index, chosen[index].first, run,
+                chosen[index].second, orders, now);
+  }
+}
+
+void Scheduler::Order(Candidate* candidate,
+                      uint32_t index,
+                      Worker* worker,
+                      uint32_t run,
+                      double cost,
+                      Orders* orders,
+                      absl::Time now) {
+  ActiveSubmission* job = candidate->job;
+  TaskSlot& slot = candidate->Slots().tasks[index];
+  const TaskRef task = candidate->Task(index);
+  this->Place(job, task, &slot, worker, run, now);
+  orders->starts.push_back({worker->vm, task, run, &job->submission.text,
+                            &candidate->Spec(), slot.checkpoint, cost});
+  if (job->state == SubmissionState::kQueued) {
+    job->state = SubmissionState::kRunning;
+    this->changes.push_back({job->submission.id, job->state});
+  }
+}
+
+void Scheduler::Preempt(const Candidate& candidate,
+                        Orders* orders,
+                        absl::Time now) {
+  const Step& step = candidate.Spec();
+  PlacementNeed need;
+  need.service = candidate.job->queue.service;
+  Worker* best = nullptr;
+  std::vector<TaskRef> best_victims;
+  absl::Duration best_loss = absl::InfiniteDuration();
+  for (auto& [vm, worker] : this->workers) {
+    need.same_step = 0;
+    for (const TaskSlot& other : candidate.Slots().tasks)
+      need.same_step += other.phase == TaskPhase::kPlaced && other.vm == vm;
+    if (!MayRun(step, need, *worker, now))
+      continue;
+    // One task at a time waits for the room of a worker.
+    if (worker->reserved_until > now)
+      continue;
+    std::vector<std::pair<absl::Duration, TaskRef>> losses;
+    for (const auto& [task, placed] : worker->placed) {
+      if (!placed.long_running && !placed.stopping)
+        losses.emplace_back(now - placed.since, task);
+    }
+    std::sort(losses.begin(), losses.end());
+    Size room = FreeRoom(*worker);
+    std::vector<TaskRef> victims;
+    absl::Duration loss;
+    for (const auto& [lost, task] : losses) {
+      if (Fits(step.size, room))
+        break;
+      const Placed& placed = worker->placed.at(task);
+      room = room + CountedSize(placed.size, placed.fills);
+      loss += lost;
+      victims.push_back(task);
+    }
+    if (Fits(step.size, room) && loss < best_loss) {
+      best = worker.get();
+      best_victims = std::move(victims);
+      best_loss = loss;
+    }
+  }
+  if (best == nullptr)
+    return;
+  best->reserved = step.size;
+  best->reserved_until = now + kReservation;
+  for (const TaskRef& task : best_victims) {
+    Placed& placed = best->placed.at(task);
+    placed.stopping = true;
+    orders->stops.push_back({best->vm, task, placed.run, "preempted"});
+  }
+}
+
+}  // namespace cuminjunction
--- a/testing/support/replay_config.cc
+++ b/testing/support/replay_config.cc
@@ -46,7 +46,7 @@
   };
 
   json Submit(const std::string& op, const json& input, absl::Time now) {
-    Submission submission;
+    DocumentChange submission;
     for (const json& item : input.at("accounts")) {
       const std::string name = item.get<std::string>();
       submission.document.accounts[name] = {name, 1, {1000, 1024, 0}};
