Learn which filling images disturb which serving images

Cause: all of the large queue's tasks fill, and nearly every VM has serving tasks, so pacing every filling task beside a long tail stopped the queue.

Agents observe tails each half second and slow down only the suspect images; the planner learns from all agents and places by what it knows. Filling tasks get the room that serving tasks leave, as the platform counts it.

--- a/base/log.cc
+++ b/base/log.cc
@@ -48,7 +48,8 @@
 log4cplus::SharedAppenderPtr MakeAppender(const std::string& path) {
   log4cplus::SharedAppenderPtr appender;
   if (path == "-") {
-    appender = new log4cplus::ConsoleAppender();
+    appender = new log4cplus::ConsoleAppender(/*logToStdErr=*/false,
+                                              /*immediateFlush=*/true);
   } else {
     appender = new log4cplus::FileAppender(path, std::ios_base::app,
                                            /*immediateFlush=*/true);
--- a/daemon/fleet_agent.cc
+++ b/daemon/fleet_agent.cc
@@ -71,6 +71,15 @@
               [this](const TaskRef& task, uint32_t run, StartOutcome outcome) {
                 this->port->Send(
                     StartRefused{task, run, static_cast<uint8_t>(outcome)});
+              },
+          .on_look =
+              [this](const std::vector<ServingTail>& serving,
+                     const FillingLoad& filling) {
+                NeighbourNotice notice;
+                for (const ServingTail& tail : serving)
+                  notice.serving.emplace_back(tail.image, tail.share);
+                notice.filling = filling;
+                this->port->Send(notice);
               }});
   this->port = std::make_unique<PlannerPort>(
       &this->thread, this->settings.name, this->log,
--- a/daemon/fleet_message.h
+++ b/daemon/fleet_message.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -73,11 +74,14 @@
   bool fills = false;
   // Limit for the tail of its response times; 0 for a task that serves nobody.
   int64_t latency_objective_ms = 0;
+  // Tasks of the same image behave alike.
+  std::string image;
+  int64_t millicores = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->task, this->run, this->checkpoint, this->text, this->fills,
-            this->latency_objective_ms);
+            this->latency_objective_ms, this->image, this->millicores);
   }
 };
 
@@ -218,6 +222,18 @@
   }
 };
 
+// Agent to planner: the tails of serving tasks, as shares of their limits, and
+// the filling images beside them with the cores that they use.
+struct NeighbourNotice {
+  std::vector<std::pair<std::string, double>> serving;
+  std::vector<std::pair<std::string, double>> filling;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->serving, this->filling);
+  }
+};
+
 // Entry to planner: a submission is stored.
 struct AcceptedNotice {
   Submission submission;
@@ -252,6 +268,7 @@
                                   InfoNotice,
                                   StartRefused,
                                   EndNotices,
+                                  NeighbourNotice,
                                   AcceptedNotice,
                                   CancelledNotice>;
 
--- a/daemon/fleet_planner.cc
+++ b/daemon/fleet_planner.cc
@@ -433,9 +433,21 @@
   } else if (const auto* ends = std::get_if<EndNotices>(&message)) {
     for (const EndedRun& end : ends->ends) {
       this->ends_total.Add();
+      this->log->Write(LogLine("end")
+                           .Add("submission", end.task.submission)
+                           .Add("step", static_cast<uint64_t>(end.task.step))
+                           .Add("index", static_cast<uint64_t>(end.task.index))
+                           .Add("run", static_cast<uint64_t>(end.run))
+                           .Add("vm", node)
+                           .Add("number", end.number)
+                           .Add("how", ToString(end.kind)));
       this->scheduler->OnEnded(node, end, now);
       this->to_confirm[node] = {ends->born_ms, end.number};
     }
+  } else if (const auto* looks = std::get_if<NeighbourNotice>(&message)) {
+    for (const auto& [image, share] : looks->serving)
+      this->scheduler->Observe(image, share, looks->filling);
+    return;
   } else if (const auto* accepted = std::get_if<AcceptedNotice>(&message)) {
     const bool certain =
         accepted->first || this->scheduler->UnresolvedCount() == 0;
@@ -477,6 +489,8 @@
     order.run = placed.run;
     order.fills = placed.fills;
     order.latency_objective_ms = placed.latency_objective_ms;
+    order.image = placed.image;
+    order.millicores = placed.size.millicores;
     describe.runs.push_back(std::move(order));
   }
   if (!describe.runs.empty())
@@ -542,6 +556,8 @@
     order.text = static_cast<uint32_t>(message.texts.size() - 1);
     order.fills = start.step->fills;
     order.latency_objective_ms = start.step->latency_objective_ms;
+    order.image = start.step->image;
+    order.millicores = start.step->size.millicores;
     message.runs.push_back(std::move(order));
     this->log->Write(LogLine("start")
                          .Add("submission", start.task.submission)
--- a/daemon/runner_guard.cc
+++ b/daemon/runner_guard.cc
@@ -31,6 +31,11 @@
 
 constexpr absl::Duration kRetryPause = absl::Milliseconds(80);
 
+// Figures of the runner cover half a second each.
+constexpr absl::Duration kLookInterval = absl::Milliseconds(500);
+
+constexpr double kMillicoresPerCore = 1000;
+
 // Added to the fence when the runner has seen a higher one: more than two
 // agents on one VM can start apart, also when the clock is set back.
 constexpr int64_t kFenceStepMs = 60000;
@@ -286,6 +291,8 @@
   Known& known_run = this->descriptions[order.task];
   known_run.fills = order.fills;
   known_run.latency_objective_ms = order.latency_objective_ms;
+  known_run.image = order.image;
+  known_run.millicores = order.millicores;
 }
 
 void RunnerGuard::Start(const RunOrder& order, const std::string& text) {
@@ -447,38 +454,58 @@
 }
 
 void RunnerGuard::PaceFillers(absl::Time now) {
-  double worst = 0;
+  std::vector<ServingTail> serving;
+  std::map<std::string, double> cores;
   for (const auto& [task, figure] : this->running) {
     const auto found = this->descriptions.find(task);
-    if (found != this->descriptions.end() &&
-        found->second.latency_objective_ms > 0)
-      worst = std::max(
-          worst, figure.figure /
-                     static_cast<double>(found->second.latency_objective_ms));
+    if (found == this->descriptions.end())
+      continue;
+    const Known& known_run = found->second;
+    // A task that is starting up has no tail yet.
+    if (known_run.latency_objective_ms > 0 && figure.figure > 0)
+      serving.push_back({known_run.image,
+                         figure.figure / static_cast<double>(
+                                             known_run.latency_objective_ms)});
+    else if (known_run.fills)
+      cores[known_run.image] += figure.figure / kMillicoresPerCore;
+  }
+  if (cores.empty())
+    return;
+  const FillingLoad filling(cores.begin(), cores.end());
+  if (now >= this->next_look && !serving.empty()) {
+    this->next_look = now + kLookInterval;
+    for (const ServingTail& tail : serving)
+      this->neighbours.Observe(tail.image, tail.share, filling);
+    this->handlers.on_look(serving, filling);
   }
-  const int percent = this->pacer.Next(worst, now);
+  UpdatePaces(serving, filling, this->neighbours, now, &this->paces);
   for (const auto& [task, figure] : this->running) {
     const auto found = this->descriptions.find(task);
-    if (found == this->descriptions.end() || !found->second.fills ||
-        found->second.percent == percent)
+    if (found == this->descriptions.end() || !found->second.fills)
       continue;
-    found->second.percent = percent;
-    this->log->Write(LogLine("pace")
-                         .Add("submission", task.submission)
-                         .Add("step", static_cast<uint64_t>(task.step))
-                         .Add("index", static_cast<uint64_t>(task.index))
-                         .Add("percent", percent)
-                         .Add("worst_tail_share", worst));
-    this->runner->Pace(task, figure.running.run, percent, this->fence,
-                       [this, open = this->open, task](OrderReply&& reply) {
-                         if (!*open || reply.result == OrderResult::kDone)
-                           return;
-                         // Sent again with the next report.
-                         const auto changed = this->descriptions.find(task);
-                         if (changed != this->descriptions.end())
-                           changed->second.percent = -1;
-                       });
+    const int percent = this->paces[found->second.image].percent;
+    if (found->second.percent != percent)
+      this->SendPace(task, figure.running.run, percent);
   }
 }
 
+void RunnerGuard::SendPace(const TaskRef& task, uint32_t run, int percent) {
+  this->descriptions.at(task).percent = percent;
+  this->log->Write(LogLine("pace")
+                       .Add("submission", task.submission)
+                       .Add("step", static_cast<uint64_t>(task.step))
+                       .Add("index", static_cast<uint64_t>(task.index))
+                       .Add("image", this->descriptions.at(task).image)
+                       .Add("percent", percent));
+  this->runner->Pace(task, run, percent, this->fence,
+                     [this, open = this->open, task](OrderReply&& reply) {
+                       if (!*open || reply.result == OrderResult::kDone)
+                         return;
+                       // Sent again with the next report.
+                       const auto changed = this->descriptions.find(task);
+                       if (changed != this->descriptions.end())
+                         changed->second.percent = -1;
+                     });
+}
+
 }  // namespace cuminjunction
--- a/daemon/runner_guard.h
+++ b/daemon/runner_guard.h
@@ -43,6 +43,11 @@
   std::function<void(int64_t born_ms, std::vector<EndedRun>&& ends)> on_ended;
   std::function<void(const TaskRef& task, uint32_t run, StartOutcome outcome)>
       on_refused;
+  // Tails of serving tasks and what fills beside them, each half second while
+  // there are both.
+  std::function<void(const std::vector<ServingTail>& serving,
+                     const FillingLoad& filling)>
+      on_look;
 };
 
 struct RunnerGuardOptions {
@@ -100,6 +105,8 @@
   struct Known {
     bool fills = false;
     int64_t latency_objective_ms = 0;
+    std::string image;
+    int64_t millicores = 0;
     int percent = 100;
   };
 
@@ -123,6 +130,7 @@
   void RaiseFence();
   void StopUncovered(absl::Time now);
   void PaceFillers(absl::Time now);
+  void SendPace(const TaskRef& task, uint32_t run, int percent);
   void After(absl::Duration pause, std::function<void()> action);
 
   boost::asio::io_context* context;
@@ -151,7 +159,9 @@
   std::vector<EndedRun> ended;
   std::map<TaskRef, PendingStart> starting;
   std::map<TaskRef, Known> descriptions;
-  Pacer pacer;
+  Neighbours neighbours;
+  std::map<std::string, Pace> paces;
+  absl::Time next_look = absl::InfinitePast();
 };
 
 }  // namespace cuminjunction
--- /dev/null
+++ b/submission/neighbours.cc
@@ -0,0 +1,61 @@
+#include "submission/neighbours.h"
+
+#include <algorithm>
+
+namespace cuminjunction {
+
+namespace {
+
+// What is assumed of a pair before it was seen: a quarter of the pairs disturb.
+// The weight of two looks lets a few seconds of evidence prevail.
+constexpr double kPriorQuiet = 1.5;
+constexpr double kPriorDisturbed = 0.5;
+
+// Share of the evidence that is kept at each look. A look comes each half
+// second, so that half of it fades in about 20 s, since loads change.
+constexpr double kKept = 0.983;
+
+// A look at less than this many cores of an image says little about it.
+constexpr double kFullWeightCores = 1.0;
+
+// Weight of a quiet look against a disturbed one: load alone can hide a pair
+// that disturbs only at peaks.
+constexpr double kQuietWeight = 0.5;
+
+}  // namespace
+
+void Neighbours::Observe(const std::string& serving,
+                         double tail_share,
+                         const FillingLoad& filling) {
+  if (tail_share > kQuietTail && tail_share < kDisturbedTail)
+    return;
+  double suspicion = 0;
+  for (const auto& [image, cores] : filling)
+    suspicion +=
+        this->Harm(serving, image) * std::min(1.0, cores / kFullWeightCores);
+  for (const auto& [image, cores] : filling) {
+    const double weight = std::min(1.0, cores / kFullWeightCores);
+    if (weight <= 0)
+      continue;
+    const double blame =
+        suspicion > 0 ? this->Harm(serving, image) * weight / suspicion : 0;
+    Evidence& evidence = this->pairs[{serving, image}];
+    evidence.quiet *= kKept;
+    evidence.disturbed *= kKept;
+    if (tail_share <= kQuietTail)
+      evidence.quiet += kQuietWeight * weight;
+    else
+      evidence.disturbed += blame;
+  }
+}
+
+double Neighbours::Harm(const std::string& serving,
+                        const std::string& filling) const {
+  const auto found = this->pairs.find({serving, filling});
+  const Evidence evidence =
+      found == this->pairs.end() ? Evidence{} : found->second;
+  const double disturbed = kPriorDisturbed + evidence.disturbed;
+  return disturbed / (disturbed + kPriorQuiet + evidence.quiet);
+}
+
+}  // namespace cuminjunction
--- a/submission/place.cc
+++ b/submission/place.cc
@@ -10,10 +10,18 @@
 // is the last choice; a VM where it would disturb or be disturbed is worse than
 // a full one; data on another rack makes the task up to three times as long.
 constexpr double kFailedHere = 100;
-constexpr double kDisturbance = 2;
+constexpr double kDisturbance = 10;
 constexpr double kOtherRack = 3;
 constexpr double kSameStep = 0.05;
 
+// Serving tasks of one image are gathered, so that filling images find VMs
+// where they disturb nobody.
+constexpr double kOtherImage = 1;
+
+// Share of its processors that a serving task uses at its usual load and a
+// half more. Filling tasks get what it leaves.
+constexpr double kServingUse = 0.65;
+
 double UsedShare(const Worker& worker) {
   const double capacity = static_cast<double>(
       std::max<int64_t>(1, worker.info.capacity.millicores));
@@ -21,6 +29,36 @@
          capacity;
 }
 
+// The room for filling tasks: what others are expected to leave unused.
+Size LeftOver(const Worker& worker) {
+  Size room = FreeRoom(worker);
+  room.millicores +=
+      static_cast<int64_t>((1 - kServingUse) *
+                           static_cast<double>(worker.serving_millicores)) -
+      worker.fill_millicores;
+  return room;
+}
+
+double ImageCost(const Step& step,
+                 const Worker& worker,
+                 const Neighbours& neighbours) {
+  double cost = UsedShare(worker);
+  if (step.latency_objective_ms > 0) {
+    double harm = 0;
+    for (const auto& [image, count] : worker.filling)
+      harm = std::max(harm, neighbours.Harm(step.image, image));
+    cost += kDisturbance * harm;
+    for (const auto& [image, count] : worker.serving)
+      cost += image == step.image ? 0 : kOtherImage;
+  } else if (step.fills) {
+    double harm = 0;
+    for (const auto& [image, count] : worker.serving)
+      harm = std::max(harm, neighbours.Harm(image, step.image));
+    cost += kDisturbance * harm;
+  }
+  return cost;
+}
+
 }  // namespace
 
 Size FreeRoom(const Worker& worker) {
@@ -45,28 +83,19 @@
 std::optional<double> PlacementCost(const Step& step,
                                     const PlacementNeed& need,
                                     const Worker& worker,
+                                    const Neighbours& neighbours,
                                     absl::Time now) {
   if (!MayRun(step, need, worker, now))
     return std::nullopt;
-  Size room = FreeRoom(worker);
+  Size room = step.fills ? LeftOver(worker) : FreeRoom(worker);
   if (!step.long_running && worker.reserved_until > now)
     room = room - worker.reserved;
-  // The runner does not count the processors of a filling task, but the task
-  // gets only what others leave, so it is given its own room as well.
-  if (!step.long_running)
-    room.millicores -= worker.fill_millicores;
-  const Size needed = step.fills && step.long_running
-                          ? CountedSize(step.size, true)
-                          : step.size;
-  if (!Fits(needed, room))
+  if (!Fits(step.size, room))
     return std::nullopt;
-  double cost = UsedShare(worker) + kSameStep * need.same_step;
+  double cost =
+      kSameStep * need.same_step + ImageCost(step, worker, neighbours);
   if (need.failed_here)
     cost += kFailedHere;
-  if (step.latency_objective_ms > 0)
-    cost += kDisturbance * worker.filling + worker.serving;
-  if (step.fills)
-    cost += kDisturbance * worker.serving;
   const std::string rack = RackOf(worker.info);
   if (!step.data_rack.empty() && rack != step.data_rack)
     cost += kOtherRack;
--- a/submission/place.h
+++ b/submission/place.h
@@ -3,7 +3,8 @@
 
 // The choice of a VM for one task.
 //
-//   std::optional<double> cost = PlacementCost(step, need, worker, now);
+//   std::optional<double> cost = PlacementCost(step, need, worker, neighbours,
+//   now);
 //
 // The VM with the lowest cost gets the task; nullopt means that it must not or
 // does not fit.
@@ -13,6 +14,7 @@
 #include <string>
 
 #include "absl/time/time.h"
+#include "submission/neighbours.h"
 #include "submission/types.h"
 #include "submission/worker.h"
 
@@ -33,6 +35,7 @@
 std::optional<double> PlacementCost(const Step& step,
                                     const PlacementNeed& need,
                                     const Worker& worker,
+                                    const Neighbours& neighbours,
                                     absl::Time now);
 
 // True when the VM may run the task at all, whatever runs there now.
--- a/submission/scheduler.cc
+++ b/submission/scheduler.cc
@@ -219,6 +219,7 @@
   placed.fills = step.fills;
   placed.serves = step.latency_objective_ms > 0;
   placed.latency_objective_ms = step.latency_objective_ms;
+  placed.image = step.image;
   placed.long_running = step.long_running;
   placed.checkpointed = step.checkpointed;
   placed.since = now;
--- a/submission/scheduler.h
+++ b/submission/scheduler.h
@@ -27,6 +27,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 #include "submission/active.h"
+#include "submission/neighbours.h"
 #include "submission/policy.h"
 #include "submission/types.h"
 #include "submission/worker.h"
@@ -123,6 +124,13 @@
 
   void OnEnded(const std::string& vm, const EndedRun& end, absl::Time now);
 
+  // Takes a look at a serving task; see Neighbours.
+  void Observe(const std::string& serving,
+               double tail_share,
+               const FillingLoad& filling) {
+    this->neighbours.Observe(serving, tail_share, filling);
+  }
+
   // Decides what to start and stop now.
   Orders Plan(absl::Time now);
 
@@ -185,6 +193,7 @@
              absl::Time now);
 
   FleetPolicy policy;
+  Neighbours neighbours;
   absl::flat_hash_map<std::string, std::unique_ptr<ActiveSubmission>> jobs;
   // Submissions that are not final, or have runs left.
   std::set<std::string> live;
--- a/submission/scheduler_plan.cc
+++ b/submission/scheduler_plan.cc
@@ -114,7 +114,8 @@
     const auto same = same_step.find(vm);
     need.same_step = same == same_step.end() ? 0 : same->second;
     need.failed_here = slot.failed_vm == vm;
-    const auto found = PlacementCost(candidate.Spec(), need, *worker, now);
+    const auto found =
+        PlacementCost(candidate.Spec(), need, *worker, this->neighbours, now);
     if (found && (best == nullptr || *found < *cost)) {
       best = worker.get();
       *cost = *found;
--- a/submission/worker.cc
+++ b/submission/worker.cc
@@ -2,16 +2,28 @@
 
 namespace cuminjunction {
 
+namespace {
+
+void CountDown(const std::string& image, std::map<std::string, int>* counts) {
+  const auto found = counts->find(image);
+  if (--found->second == 0)
+    counts->erase(found);
+}
+
+}  // namespace
+
 void Occupy(Worker* worker, const TaskRef& task, const Placed& placed) {
   Vacate(worker, task);
   worker->placed[task] = placed;
   worker->used = worker->used + CountedSize(placed.size, placed.fills);
   if (placed.fills) {
     worker->fill_millicores += placed.size.millicores;
-    ++worker->filling;
+    ++worker->filling[placed.image];
+  }
+  if (placed.serves) {
+    worker->serving_millicores += placed.size.millicores;
+    ++worker->serving[placed.image];
   }
-  if (placed.serves)
-    ++worker->serving;
 }
 
 void Vacate(Worker* worker, const TaskRef& task) {
@@ -22,10 +34,12 @@
   worker->used = worker->used - CountedSize(placed.size, placed.fills);
   if (placed.fills) {
     worker->fill_millicores -= placed.size.millicores;
-    --worker->filling;
+    CountDown(placed.image, &worker->filling);
+  }
+  if (placed.serves) {
+    worker->serving_millicores -= placed.size.millicores;
+    CountDown(placed.image, &worker->serving);
   }
-  if (placed.serves)
-    --worker->serving;
   worker->placed.erase(found);
 }
 
--- a/submission/worker.h
+++ b/submission/worker.h
@@ -25,6 +25,7 @@
   // It has a limit for its response times, which is `latency_objective_ms`.
   bool serves = false;
   int64_t latency_objective_ms = 0;
+  std::string image;
   bool long_running = false;
   bool checkpointed = false;
   bool stopping = false;
@@ -48,8 +49,10 @@
   // not count their processors.
   Size used;
   int64_t fill_millicores = 0;
-  int serving = 0;
-  int filling = 0;
+  int64_t serving_millicores = 0;
+  // Tasks by image.
+  std::map<std::string, int> serving;
+  std::map<std::string, int> filling;
   // Room kept free for a task that lasts while others are being stopped.
   Size reserved;
   absl::Time reserved_until = absl::InfinitePast();
