Gather serving tasks by image and share what agents learn of pairs

Cause: serving images were mixed on every VM, so a filling image found hardly a VM where it disturbs nobody, and each agent learned every pair anew.

Serving tasks join VMs with their image, the planner passes its evidence on to agents, and pacing cuts in proportion to the disturbance instead of by halves.

--- a/daemon/fleet_agent.cc
+++ b/daemon/fleet_agent.cc
@@ -191,6 +191,8 @@
       this->guard->Stop(stop.task, stop.run);
   } else if (const auto* confirm = std::get_if<ConfirmEnds>(&message)) {
     this->guard->ConfirmEnds(confirm->born_ms, confirm->up_to);
+  } else if (const auto* pairs = std::get_if<PairsNotice>(&message)) {
+    this->guard->Learn(pairs->pairs);
   } else if (const auto* describe = std::get_if<DescribeRuns>(&message)) {
     for (const RunOrder& order : describe->runs)
       this->guard->Describe(order);
--- a/daemon/fleet_message.h
+++ b/daemon/fleet_message.h
@@ -20,6 +20,7 @@
 
 #include "base/codec.h"
 #include "base/error.h"
+#include "submission/neighbours.h"
 #include "submission/types.h"
 
 namespace cuminjunction {
@@ -234,6 +235,17 @@
   }
 };
 
+// Planner to agent: what all agents' looks have taught of the images on its VM.
+struct PairsNotice {
+  uint64_t epoch = 0;
+  std::vector<PairEvidence> pairs;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->epoch, this->pairs);
+  }
+};
+
 // Entry to planner: a submission is stored.
 struct AcceptedNotice {
   Submission submission;
@@ -269,6 +281,7 @@
                                   StartRefused,
                                   EndNotices,
                                   NeighbourNotice,
+                                  PairsNotice,
                                   AcceptedNotice,
                                   CancelledNotice>;
 
--- a/daemon/fleet_planner.cc
+++ b/daemon/fleet_planner.cc
@@ -447,6 +447,8 @@
   } else if (const auto* looks = std::get_if<NeighbourNotice>(&message)) {
     for (const auto& [image, share] : looks->serving)
       this->scheduler->Observe(image, share, looks->filling);
+    this->nodes.Send(
+        node, PairsNotice{this->lease.Epoch(), this->scheduler->PairsOn(node)});
     return;
   } else if (const auto* accepted = std::get_if<AcceptedNotice>(&message)) {
     const bool certain =
--- a/daemon/runner_guard.h
+++ b/daemon/runner_guard.h
@@ -78,6 +78,11 @@
   // Tells what a run is, after a restart of the agent.
   void Describe(const RunOrder& order);
 
+  // Takes what the planner has learned of pairs of images.
+  void Learn(const std::vector<PairEvidence>& pairs) {
+    this->neighbours.Adopt(pairs);
+  }
+
   // The runner has said that it ends.
   void OnRunnerLeft();
 
--- a/submission/neighbours.cc
+++ b/submission/neighbours.cc
@@ -58,4 +58,18 @@
   return disturbed / (disturbed + kPriorQuiet + evidence.quiet);
 }
 
+std::vector<PairEvidence> Neighbours::Export() const {
+  std::vector<PairEvidence> exported;
+  for (const auto& [pair, evidence] : this->pairs)
+    exported.push_back({pair.first, pair.second,
+                        static_cast<float>(evidence.quiet),
+                        static_cast<float>(evidence.disturbed)});
+  return exported;
+}
+
+void Neighbours::Adopt(const std::vector<PairEvidence>& evidence) {
+  for (const PairEvidence& pair : evidence)
+    this->pairs[{pair.serving, pair.filling}] = {pair.quiet, pair.disturbed};
+}
+
 }  // namespace cuminjunction
--- a/submission/neighbours.h
+++ b/submission/neighbours.h
@@ -30,6 +30,20 @@
 // A filling image on a VM, with the processors it uses there in cores.
 using FillingLoad = std::vector<std::pair<std::string, double>>;
 
+// What is known of a pair: looks that found the serving image quiet and
+// disturbed, with fading weights.
+struct PairEvidence {
+  std::string serving;
+  std::string filling;
+  float quiet = 0;
+  float disturbed = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->serving, this->filling, this->quiet, this->disturbed);
+  }
+};
+
 class Neighbours {
  public:
   // Takes one look at a serving task: its tail as a share of its limit, and
@@ -41,6 +55,13 @@
   // How likely the filling image disturbs the serving image, from 0 to 1.
   double Harm(const std::string& serving, const std::string& filling) const;
 
+  // All that is known, to tell others.
+  std::vector<PairEvidence> Export() const;
+
+  // Takes what another has learned from more looks in place of the own
+  // evidence on these pairs.
+  void Adopt(const std::vector<PairEvidence>& evidence);
+
  private:
   struct Evidence {
     double quiet = 0;
--- a/submission/pace.cc
+++ b/submission/pace.cc
@@ -7,7 +7,10 @@
 namespace {
 
 // Percentage points by which an image speeds up in a step.
-constexpr int kRaise = 35;
+constexpr int kRaise = 15;
+
+// Shares below this are not worth their disturbance.
+constexpr int kLeastPercent = 5;
 
 // Images whose harm is at least this share of the most suspect one's slow down
 // with it.
@@ -17,12 +20,18 @@
 // limit must not be passed for seconds.
 constexpr double kStopAll = 2.5;
 
+// Tail of an undisturbed serving task at its usual load, and the tail that
+// pacing aims at, in shares of the limit.
+constexpr double kUsualTail = 0.45;
+constexpr double kAimedTail = 0.9;
+
+// The share at which the disturbance would be just below the limit, as it grows
+// with the share.
 int SlowerPercent(int percent, double tail_share) {
-  if (tail_share > 1.5)
-    return 0;
-  if (tail_share > 1.0)
-    return percent / 4;
-  return percent / 2;
+  const double factor =
+      (kAimedTail - kUsualTail) / std::max(0.1, tail_share - kUsualTail);
+  const int slower = static_cast<int>(percent * std::min(factor, 0.8));
+  return slower < kLeastPercent ? 0 : slower;
 }
 
 }  // namespace
--- a/submission/place.cc
+++ b/submission/place.cc
@@ -15,8 +15,9 @@
 constexpr double kSameStep = 0.05;
 
 // Serving tasks of one image are gathered, so that filling images find VMs
-// where they disturb nobody.
-constexpr double kOtherImage = 1;
+// where they disturb nobody. The weight makes a nearly full VM with the image
+// better than an empty one.
+constexpr double kOtherImage = 1.5;
 
 // Share of its processors that a serving task uses at its usual load and a
 // half more. Filling tasks get what it leaves.
@@ -49,7 +50,7 @@
       harm = std::max(harm, neighbours.Harm(step.image, image));
     cost += kDisturbance * harm;
     for (const auto& [image, count] : worker.serving)
-      cost += image == step.image ? 0 : kOtherImage;
+      cost += image == step.image ? -kOtherImage : kOtherImage;
   } else if (step.fills) {
     double harm = 0;
     for (const auto& [image, count] : worker.serving)
--- a/submission/scheduler.cc
+++ b/submission/scheduler.cc
@@ -381,6 +381,16 @@
   return states;
 }
 
+std::vector<PairEvidence> Scheduler::PairsOn(const std::string& vm) const {
+  std::vector<PairEvidence> pairs = this->neighbours.Export();
+  const Worker& worker = *this->workers.at(vm);
+  std::erase_if(pairs, [&](const PairEvidence& pair) {
+    return !worker.serving.contains(pair.serving) ||
+           !worker.filling.contains(pair.filling);
+  });
+  return pairs;
+}
+
 std::map<std::string, uint64_t> Scheduler::WaitingCounts() const {
   std::map<std::string, uint64_t> counts;
   for (const std::string& id : this->live) {
--- a/submission/scheduler.h
+++ b/submission/scheduler.h
@@ -131,6 +131,9 @@
     this->neighbours.Observe(serving, tail_share, filling);
   }
 
+  // What is known of the pairs of images on a VM.
+  std::vector<PairEvidence> PairsOn(const std::string& vm) const;
+
   // Decides what to start and stop now.
   Orders Plan(absl::Time now);
 
