Wait for and move to VMs where a filling task disturbs nobody

Cause: a filling task went to any VM with room, was paced down there and held up its step; a quiet tail beside a task that was paced down counted as evidence that it is harmless.

A filling task waits up to 1.5 s, or while others of its step run, for a VM where the harm is small, and one with a checkpoint leaves a VM where it is not. Only images at their full share are cleared by a quiet tail.

--- a/daemon/fleet_message.h
+++ b/daemon/fleet_message.h
@@ -227,7 +227,7 @@
 // the filling images beside them with the cores that they use.
 struct NeighbourNotice {
   std::vector<std::pair<std::string, double>> serving;
-  std::vector<std::pair<std::string, double>> filling;
+  FillingLoad filling;
 
   template <class Archive>
   void serialize(Archive& archive) {
--- a/daemon/fleet_planner.cc
+++ b/daemon/fleet_planner.cc
@@ -567,6 +567,7 @@
                          .Add("index", static_cast<uint64_t>(start.task.index))
                          .Add("run", static_cast<uint64_t>(start.run))
                          .Add("vm", start.vm)
+                         .Add("image", start.step->image)
                          .Add("cost", start.cost));
   }
   for (auto& [node, message] : starts)
--- a/daemon/runner_guard.cc
+++ b/daemon/runner_guard.cc
@@ -471,7 +471,9 @@
   }
   if (cores.empty())
     return;
-  const FillingLoad filling(cores.begin(), cores.end());
+  FillingLoad filling;
+  for (const auto& [image, used] : cores)
+    filling.push_back({image, used, this->paces[image].percent == 100});
   if (now >= this->next_look && !serving.empty()) {
     this->next_look = now + kLookInterval;
     for (const ServingTail& tail : serving)
--- a/submission/active.h
+++ b/submission/active.h
@@ -49,6 +49,8 @@
   std::vector<TaskSlot> tasks;
   uint32_t done = 0;
   uint32_t placed = 0;
+  // When the planner first saw that the step may start.
+  absl::Time ready_since = absl::InfiniteFuture();
 
   uint32_t Idle() const {
     return static_cast<uint32_t>(this->tasks.size()) - this->done -
--- a/submission/neighbours.cc
+++ b/submission/neighbours.cc
@@ -22,6 +22,10 @@
 // that disturbs only at peaks.
 constexpr double kQuietWeight = 0.5;
 
+double WeightOf(const FillingImage& filler) {
+  return std::min(1.0, filler.cores / kFullWeightCores);
+}
+
 }  // namespace
 
 void Neighbours::Observe(const std::string& serving,
@@ -29,20 +33,22 @@
                          const FillingLoad& filling) {
   if (tail_share > kQuietTail && tail_share < kDisturbedTail)
     return;
+  const bool quiet = tail_share <= kQuietTail;
   double suspicion = 0;
-  for (const auto& [image, cores] : filling)
-    suspicion +=
-        this->Harm(serving, image) * std::min(1.0, cores / kFullWeightCores);
-  for (const auto& [image, cores] : filling) {
-    const double weight = std::min(1.0, cores / kFullWeightCores);
-    if (weight <= 0)
+  for (const FillingImage& filler : filling)
+    suspicion += this->Harm(serving, filler.image) * WeightOf(filler);
+  for (const FillingImage& filler : filling) {
+    const double weight = WeightOf(filler);
+    // A tail that is quiet while an image is slowed down clears nobody.
+    if (weight <= 0 || (quiet && !filler.at_full_share))
       continue;
     const double blame =
-        suspicion > 0 ? this->Harm(serving, image) * weight / suspicion : 0;
-    Evidence& evidence = this->pairs[{serving, image}];
+        suspicion > 0 ? this->Harm(serving, filler.image) * weight / suspicion
+                      : 0;
+    Evidence& evidence = this->pairs[{serving, filler.image}];
     evidence.quiet *= kKept;
     evidence.disturbed *= kKept;
-    if (tail_share <= kQuietTail)
+    if (quiet)
       evidence.quiet += kQuietWeight * weight;
     else
       evidence.disturbed += blame;
--- a/submission/neighbours.h
+++ b/submission/neighbours.h
@@ -5,7 +5,7 @@
 // the serving tasks.
 //
 //   Neighbours neighbours;
-//   neighbours.Observe("search", 0.9, {{"rebuild", 1.8}});
+//   neighbours.Observe("search", 1.2, {{"rebuild", 1.8, true}});
 //   double harm = neighbours.Harm("search", "rebuild");   // 0 to 1
 //
 // Load pattern: filling and serving tasks of many images share all VMs; a few
@@ -27,8 +27,21 @@
 inline constexpr double kQuietTail = 0.8;
 inline constexpr double kDisturbedTail = 0.97;
 
-// A filling image on a VM, with the processors it uses there in cores.
-using FillingLoad = std::vector<std::pair<std::string, double>>;
+// A filling image on a VM.
+struct FillingImage {
+  std::string image;
+  // Processors that it uses there, in cores.
+  double cores = 0;
+  // It works at its full share, so that a quiet tail beside it says something.
+  bool at_full_share = true;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->image, this->cores, this->at_full_share);
+  }
+};
+
+using FillingLoad = std::vector<FillingImage>;
 
 // What is known of a pair: looks that found the serving image quiet and
 // disturbed, with fading weights.
--- a/submission/pace.cc
+++ b/submission/pace.cc
@@ -51,18 +51,21 @@
     if (tail.share < kDisturbedTail)
       continue;
     double most = 0;
-    for (const auto& [image, cores] : filling) {
+    for (const FillingImage& filler : filling) {
+      const std::string& image = filler.image;
       // An image that is stopped already can't be the cause.
       if ((*paces)[image].percent > 0)
         most = std::max(most, neighbours.Harm(tail.image, image));
     }
-    for (const auto& [image, cores] : filling) {
+    for (const FillingImage& filler : filling) {
+      const std::string& image = filler.image;
       if (tail.share >= kStopAll ||
           neighbours.Harm(tail.image, image) >= kAlsoSuspect * most)
         charged[image] = std::max(charged[image], tail.share);
     }
   }
-  for (const auto& [image, cores] : filling) {
+  for (const FillingImage& filler : filling) {
+    const std::string& image = filler.image;
     Pace& pace = (*paces)[image];
     const auto found = charged.find(image);
     if (found != charged.end()) {
--- a/submission/place.cc
+++ b/submission/place.cc
@@ -19,9 +19,9 @@
 // better than an empty one.
 constexpr double kOtherImage = 1.5;
 
-// Share of its processors that a serving task uses at its usual load and a
-// half more. Filling tasks get what it leaves.
-constexpr double kServingUse = 0.65;
+// Share of its processors that a serving task uses at its usual load. Filling
+// tasks get what it leaves.
+constexpr double kServingUse = 0.5;
 
 double UsedShare(const Worker& worker) {
   const double capacity = static_cast<double>(
@@ -40,28 +40,22 @@
   return room;
 }
 
-double ImageCost(const Step& step,
-                 const Worker& worker,
-                 const Neighbours& neighbours) {
-  double cost = UsedShare(worker);
+}  // namespace
+
+double HarmOn(const Step& step,
+              const Worker& worker,
+              const Neighbours& neighbours) {
+  double harm = 0;
   if (step.latency_objective_ms > 0) {
-    double harm = 0;
     for (const auto& [image, count] : worker.filling)
       harm = std::max(harm, neighbours.Harm(step.image, image));
-    cost += kDisturbance * harm;
-    for (const auto& [image, count] : worker.serving)
-      cost += image == step.image ? -kOtherImage : kOtherImage;
   } else if (step.fills) {
-    double harm = 0;
     for (const auto& [image, count] : worker.serving)
       harm = std::max(harm, neighbours.Harm(image, step.image));
-    cost += kDisturbance * harm;
   }
-  return cost;
+  return harm;
 }
 
-}  // namespace
-
 Size FreeRoom(const Worker& worker) {
   return worker.info.capacity - worker.used;
 }
@@ -93,8 +87,15 @@
     room = room - worker.reserved;
   if (!Fits(step.size, room))
     return std::nullopt;
+  const double harm = HarmOn(step, worker, neighbours);
+  if (step.fills && need.can_wait && harm > kAcceptedHarm)
+    return std::nullopt;
   double cost =
-      kSameStep * need.same_step + ImageCost(step, worker, neighbours);
+      kSameStep * need.same_step + UsedShare(worker) + kDisturbance * harm;
+  if (step.latency_objective_ms > 0) {
+    for (const auto& [image, count] : worker.serving)
+      cost += image == step.image ? -kOtherImage : kOtherImage;
+  }
   if (need.failed_here)
     cost += kFailedHere;
   const std::string rack = RackOf(worker.info);
--- a/submission/place.h
+++ b/submission/place.h
@@ -27,6 +27,8 @@
   uint32_t same_step = 0;
   // A run of the task failed on the VM.
   bool failed_here = false;
+  // A filling task waits for a VM where it disturbs nobody.
+  bool can_wait = false;
   // The rack of the step's other tasks, where that matters; empty without.
   std::string rack;
 };
@@ -44,6 +46,15 @@
             const Worker& worker,
             absl::Time now);
 
+// How likely tasks of the step disturb, or are disturbed, on the VM: from 0 to
+// 1 for the worst pair of images.
+double HarmOn(const Step& step,
+              const Worker& worker,
+              const Neighbours& neighbours);
+
+// Harm from which on a filling task waits for another VM, or leaves.
+inline constexpr double kAcceptedHarm = 0.3;
+
 // The room that is left on a VM.
 Size FreeRoom(const Worker& worker);
 
--- a/submission/scheduler.h
+++ b/submission/scheduler.h
@@ -185,6 +185,7 @@
                  const TaskSlot& slot,
                  absl::Time now,
                  double* cost);
+  void MoveDisturbers(Orders* orders, absl::Time now);
   void Preempt(const Candidate& candidate, Orders* orders, absl::Time now);
   bool MayStart(const TaskSlot& slot, absl::Time now) const;
   void Order(Candidate* candidate,
@@ -205,6 +206,7 @@
   std::set<std::string> unresolved;
   std::set<std::string> dirty;
   std::vector<StateChange> changes;
+  absl::Time next_move = absl::InfinitePast();
   // Runs that must end: of unknown or final submissions.
   std::vector<StopOrder> unwanted;
 };
--- a/submission/scheduler_plan.cc
+++ b/submission/scheduler_plan.cc
@@ -11,6 +11,17 @@
 // it: longer than a stop takes on either site (900 ms).
 constexpr absl::Duration kReservation = absl::Seconds(2);
 
+// How long a submission with nothing running waits for a VM where its filling
+// tasks disturb nobody. The platform's rules want work to start within 3 s
+// where there is room.
+constexpr absl::Duration kMaxWaitForQuiet = absl::Milliseconds(1500);
+
+// Filling tasks that disturb are moved at most this often, a few at a time,
+// and not before they have run for a while: a move costs a stop and a restore.
+constexpr absl::Duration kMoveInterval = absl::Milliseconds(300);
+constexpr int kMovesAtATime = 2;
+constexpr absl::Duration kMinRunBeforeMove = absl::Seconds(1);
+
 }  // namespace
 
 // A step of one occurrence that has tasks to start.
@@ -43,9 +54,47 @@
     else
       this->StartStep(&candidate, &orders, now);
   }
+  if (now >= this->next_move) {
+    this->next_move = now + kMoveInterval;
+    this->MoveDisturbers(&orders, now);
+  }
   return orders;
 }
 
+void Scheduler::MoveDisturbers(Orders* orders, absl::Time now) {
+  int moves = 0;
+  for (auto& [vm, worker] : this->workers) {
+    if (!worker->synced || worker->serving.empty())
+      continue;
+    for (auto& [task, placed] : worker->placed) {
+      if (!placed.fills || !placed.checkpointed || placed.stopping ||
+          now - placed.since < kMinRunBeforeMove)
+        continue;
+      ActiveSubmission* job = this->FindActive(task.submission);
+      if (job == nullptr || IsFinal(job->state))
+        continue;
+      const Step& step = job->submission.steps[task.step];
+      if (step.gang || HarmOn(step, *worker, this->neighbours) <= kAcceptedHarm)
+        continue;
+      PlacementNeed need;
+      need.service = job->queue.service;
+      need.can_wait = true;
+      const bool better = std::any_of(
+          this->workers.begin(), this->workers.end(), [&](const auto& other) {
+            return PlacementCost(step, need, *other.second, this->neighbours,
+                                 now)
+                .has_value();
+          });
+      if (!better)
+        continue;
+      placed.stopping = true;
+      orders->stops.push_back({vm, task, placed.run, "disturbs"});
+      if (++moves >= kMovesAtATime)
+        return;
+    }
+  }
+}
+
 void Scheduler::AddOccurrences(absl::Time now) {
   for (const std::string& id : this->live) {
     ActiveSubmission* job = this->FindActive(id);
@@ -81,6 +130,8 @@
         if (occurrence.steps[step].Idle() == 0 ||
             !IsReady(*job, occurrence, step))
           continue;
+        absl::Time& since = job->occurrences[number].steps[step].ready_since;
+        since = std::min(since, now);
         if (!rank)
           rank = RankOf(FactsOf(*job, occurrence, now));
         candidates.push_back({job, number, step, *rank});
@@ -102,6 +153,8 @@
   std::map<std::string, uint32_t> same_step;
   PlacementNeed need;
   need.service = candidate.job->queue.service;
+  need.can_wait = candidate.Slots().placed > 0 ||
+                  now - candidate.Slots().ready_since < kMaxWaitForQuiet;
   for (const TaskSlot& other : candidate.Slots().tasks) {
     if (other.phase != TaskPhase::kPlaced)
       continue;
