Read the submissions that an agent names before taking its report

A report or an end that names an unknown submission is put off until the table has been read anew; later messages of that agent keep their order behind it.

--- a/daemon/fleet_planner.cc
+++ b/daemon/fleet_planner.cc
@@ -91,8 +91,10 @@
                  },
              .on_lost =
                  [this](const std::string& node, bool agent) {
-                   if (agent && this->scheduler)
-                     this->scheduler->Disconnected(node);
+                   if (!agent || !this->scheduler)
+                     return;
+                   this->put_off.erase(node);
+                   this->scheduler->Disconnected(node);
                  },
              .on_granted =
                  [this](const std::string& node, absl::Time end) {
@@ -195,6 +197,8 @@
   this->nodes.End();
   this->scheduler = nullptr;
   this->to_confirm.clear();
+  this->put_off.clear();
+  this->reading_unknown = false;
   this->feeds_running.clear();
   this->lost_since = absl::InfinitePast();
 }
@@ -413,6 +417,65 @@
 
 void FleetPlanner::OnNodeMessage(const std::string& node,
                                  FleetMessage&& message) {
+  if (!this->PutOff(node, &message))
+    this->TakeNodeMessage(node, std::move(message));
+}
+
+bool FleetPlanner::PutOff(const std::string& node, FleetMessage* message) {
+  const auto waiting = this->put_off.find(node);
+  bool known = waiting == this->put_off.end();
+  if (const auto* notice = std::get_if<WorkerNotice>(message))
+    known = known && this->scheduler->KnowsAll(notice->running, notice->ended);
+  else if (const auto* ends = std::get_if<EndNotices>(message))
+    known = known && this->scheduler->KnowsAll({}, ends->ends);
+  if (known)
+    return false;
+  this->put_off[node].push_back(std::move(*message));
+  this->ReadUnknown();
+  return true;
+}
+
+void FleetPlanner::ReadUnknown() {
+  if (std::exchange(this->reading_unknown, true))
+    return;
+  const auto take = [this, term = this->term](RowsReply&& reply) {
+    if (term != this->term)
+      return;
+    this->reading_unknown = false;
+    for (const StoreRow& row : reply.rows)
+      this->TakeSubmissionRow(row);
+    if (!reply.error && !reply.more) {
+      this->TakePutOff();
+      return;
+    }
+    if (reply.error == PlatformError::kHistoryGone)
+      this->feed_versions[kSubmissionTable] = 0;
+    else if (!reply.error)
+      this->feed_versions[kSubmissionTable] = reply.rows.back().version;
+    auto pause = std::make_shared<boost::asio::steady_timer>(
+        *this->context, std::chrono::milliseconds(50));
+    pause->async_wait([this, term, pause](std::error_code error) {
+      if (!error && term == this->term)
+        this->ReadUnknown();
+    });
+  };
+  const int64_t version = this->feed_versions[kSubmissionTable];
+  if (version == 0)
+    this->store->Read(kSubmissionTable, "", 0, kReadTimeout, take);
+  else
+    this->store->Feed(kSubmissionTable, version, absl::Milliseconds(1), take);
+}
+
+void FleetPlanner::TakePutOff() {
+  auto messages = std::exchange(this->put_off, {});
+  for (auto& [node, list] : messages) {
+    for (FleetMessage& message : list)
+      this->TakeNodeMessage(node, std::move(message));
+  }
+}
+
+void FleetPlanner::TakeNodeMessage(const std::string& node,
+                                   FleetMessage&& message) {
   const absl::Time now = BootClock().Now();
   if (auto* notice = std::get_if<WorkerNotice>(&message)) {
     this->OnWorkerNotice(node, std::move(*notice));
--- a/daemon/fleet_planner.h
+++ b/daemon/fleet_planner.h
@@ -79,6 +79,11 @@
   void RepairTable(const std::string& table);
   void TakeSubmissionRow(const StoreRow& row);
   void OnNodeMessage(const std::string& vm, FleetMessage&& message);
+  // Puts messages off until the submissions that they name have been read.
+  bool PutOff(const std::string& vm, FleetMessage* message);
+  void ReadUnknown();
+  void TakePutOff();
+  void TakeNodeMessage(const std::string& vm, FleetMessage&& message);
   void OnWorkerNotice(const std::string& vm, WorkerNotice&& notice);
   void DescribeTo(const std::string& vm);
   void ScheduleRun();
@@ -114,6 +119,9 @@
   std::set<std::string> feeds_running;
   absl::Time next_repair = absl::InfinitePast();
   absl::Time next_waiting = absl::InfinitePast();
+  // Messages that wait for the table of submissions, in order, by VM.
+  std::map<std::string, std::vector<FleetMessage>> put_off;
+  bool reading_unknown = false;
   // Ends to confirm by VM: the runner's life and the number.
   std::map<std::string, std::pair<int64_t, uint64_t>> to_confirm;
 };
--- a/submission/scheduler.cc
+++ b/submission/scheduler.cc
@@ -121,6 +121,17 @@
   this->unresolved.insert(vm);
 }
 
+bool Scheduler::KnowsAll(const std::vector<ActiveRun>& running,
+                         const std::vector<EndedRun>& ended) const {
+  return std::all_of(running.begin(), running.end(),
+                     [this](const ActiveRun& run) {
+                       return this->Knows(run.task.submission);
+                     }) &&
+         std::all_of(ended.begin(), ended.end(), [this](const EndedRun& end) {
+           return this->Knows(end.task.submission);
+         });
+}
+
 void Scheduler::Sync(const WorkerReport& report, absl::Time now) {
   Worker& worker = this->MakeWorker(report.vm);
   if (worker.info.born_ms != report.info.born_ms) {
--- a/submission/scheduler.h
+++ b/submission/scheduler.h
@@ -153,6 +153,13 @@
   std::map<std::string, uint64_t> WaitingCounts() const;
 
   bool Knows(const std::string& id) const { return this->jobs.contains(id); }
+
+  // True when all these runs and ends are of known submissions. An agent may
+  // tell of a submission that was stored after this planner had read the table
+  // and started by the planner before it; its row must be read before Sync() or
+  // OnEnded(), which take an unknown submission for one that does not exist.
+  bool KnowsAll(const std::vector<ActiveRun>& running,
+                const std::vector<EndedRun>& ended) const;
   const Worker* FindWorker(const std::string& vm) const;
   size_t WorkerCount() const { return this->workers.size(); }
   // Workers of earlier planners that have not reported.
--- a/submission/scheduler_plan.cc
+++ b/submission/scheduler_plan.cc
@@ -208,12 +208,14 @@
     run = std::max(run, slot.run + 1);
   }
   std::vector<std::pair<Worker*, double>> chosen;
+  std::vector<uint32_t> last_runs;
   for (uint32_t index = 0; index < slots.tasks.size(); ++index) {
     double cost = 0;
     Worker* worker = this->Choose(*candidate, slots.tasks[index], now, &cost);
     if (worker == nullptr)
       break;
     chosen.emplace_back(worker, cost);
+    last_runs.push_back(slots.tasks[index].run);
     // Counted at once, so that the next member finds the room that is left.
     this->Place(candidate->job, candidate->Task(index), &slots.tasks[index],
                 worker, run, now);
@@ -222,6 +224,7 @@
     const TaskRef task = candidate->Task(index);
     Vacate(chosen[index].first, task);
     this->Release(candidate->job, task, &slots.tasks[index]);
+    slots.tasks[index].run = last_runs[index];
   }
   if (chosen.size() < slots.tasks.size())
     return;
--- /dev/null
+++ b/submission/testing/scheduler_test.cc
@@ -0,0 +1,367 @@
+#include "submission/scheduler.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cuminjunction {
+namespace {
+
+constexpr char kId[] = "00000000000000a1";
+
+FleetPolicy MakePolicy() {
+  FleetPolicy policy;
+  policy.version = 1;
+  Queue queue;
+  queue.name = "plans";
+  queue.service = "line";
+  queue.max_attempts = 2;
+  queue.stretch = 2;
+  queue.objective_ms = 1000;
+  policy.queues.push_back(queue);
+  return policy;
+}
+
+Step MakeStep(uint32_t count, int64_t millicores) {
+  Step step;
+  step.count = count;
+  step.size = {millicores, 100, 0};
+  step.estimate_ms = 1000;
+  return step;
+}
+
+Submission MakeSubmission(const std::string& id, std::vector<Step> steps) {
+  Submission submission;
+  submission.id = id;
+  submission.queue = "plans";
+  submission.text = "text";
+  submission.steps = std::move(steps);
+  return submission;
+}
+
+WorkerReport MakeReport(const std::string& vm, int64_t born_ms = 1) {
+  WorkerReport report;
+  report.vm = vm;
+  report.info.runner = "runner-" + vm;
+  report.info.born_ms = born_ms;
+  report.info.service = "line";
+  report.info.capacity = {4000, 1000, 0};
+  report.info.labels = {"a", "rack-1"};
+  report.alive = true;
+  return report;
+}
+
+class SchedulerTest : public testing::Test {
+ protected:
+  SchedulerTest() { this->scheduler.SetPolicy(MakePolicy()); }
+
+  void Add(const Submission& submission, bool certain = true) {
+    this->scheduler.Add(submission, std::nullopt, certain, this->now,
+                        this->now);
+  }
+
+  Orders Plan() { return this->scheduler.Plan(this->now); }
+
+  void End(const StartOrder& start, EndKind kind, uint64_t number = 1) {
+    this->scheduler.OnEnded(start.vm, {number, start.task, start.run, kind, ""},
+                            this->now);
+  }
+
+  SubmissionState State(const std::string& id) {
+    for (const StateChange& change : this->scheduler.AllStates()) {
+      if (change.submission == id)
+        return change.state;
+    }
+    return SubmissionState::kFailed;
+  }
+
+  absl::Time now = absl::FromUnixSeconds(1000);
+  Scheduler scheduler;
+};
+
+TEST_F(SchedulerTest, RunsStepsInOrderAndCompletesOnceStored) {
+  Step second = MakeStep(1, 500);
+  second.after = {0};
+  this->scheduler.Sync(MakeReport("vm-1"), this->now);
+  this->Add(MakeSubmission(kId, {MakeStep(2, 500), second}));
+  const Orders first = this->Plan();
+  ASSERT_EQ(first.starts.size(), 2u);
+  EXPECT_EQ(first.starts[0].run, 1u);
+  this->End(first.starts[0], EndKind::kDone, 1);
+  EXPECT_TRUE(this->Plan().starts.empty());
+  this->End(first.starts[1], EndKind::kDone, 2);
+  const Orders next = this->Plan();
+  ASSERT_EQ(next.starts.size(), 1u);
+  EXPECT_EQ(next.starts[0].task.step, 1u);
+  this->End(next.starts[0], EndKind::kDone, 3);
+  // Shown only when the store has it.
+  EXPECT_EQ(this->State(kId), SubmissionState::kRunning);
+  const auto dirty = this->scheduler.TakeDirty();
+  ASSERT_EQ(dirty.size(), 1u);
+  EXPECT_EQ(dirty[0].second.state, SubmissionState::kCompleted);
+  this->scheduler.MarkStored(kId, dirty[0].second.state);
+  EXPECT_EQ(this->State(kId), SubmissionState::kCompleted);
+}
+
+// Guards against placing more on a VM than its runner has.
+TEST_F(SchedulerTest, NeverExceedsTheRoomOfAVm) {
+  this->scheduler.Sync(MakeReport("vm-1"), this->now);
+  this->Add(MakeSubmission(kId, {MakeStep(9, 1000)}));
+  const Orders orders = this->Plan();
+  EXPECT_EQ(orders.starts.size(), 4u);
+  this->End(orders.starts[0], EndKind::kDone);
+  EXPECT_EQ(this->Plan().starts.size(), 1u);
+}
+
+// Guards against a second run of a task that an earlier planner started on a
+// worker that has not been heard.
+TEST_F(SchedulerTest, UncertainTasksWaitForEveryWorkerOfAnEarlierPlanner) {
+  this->scheduler.ExpectWorker("vm-1", this->now + absl::Seconds(20));
+  this->scheduler.ExpectWorker("vm-2", this->now + absl::Seconds(20));
+  this->Add(MakeSubmission(kId, {MakeStep(1, 1000)}), /*certain=*/false);
+  this->scheduler.Sync(MakeReport("vm-1"), this->now);
+  EXPECT_TRUE(this->Plan().starts.empty());
+  // A submission that no other planner can know goes ahead.
+  this->Add(MakeSubmission("00000000000000b2", {MakeStep(1, 1000)}));
+  EXPECT_EQ(this->Plan().starts.size(), 1u);
+  this->now += absl::Seconds(19);
+  this->scheduler.Expire(this->now);
+  EXPECT_TRUE(this->Plan().starts.empty());
+  this->now += absl::Seconds(2);
+  this->scheduler.Expire(this->now);
+  const Orders orders = this->Plan();
+  ASSERT_EQ(orders.starts.size(), 1u);
+  // Above all numbers that the earlier planner can have used.
+  EXPECT_GT(orders.starts[0].run, 1u);
+}
+
+TEST_F(SchedulerTest, AdoptsRunsThatAWorkerReports) {
+  this->scheduler.ExpectWorker("vm-1", this->now + absl::Seconds(20));
+  this->Add(MakeSubmission(kId, {MakeStep(1, 1000)}), /*certain=*/false);
+  WorkerReport report = MakeReport("vm-1");
+  report.running.push_back({{kId, 0, 0, 0}, 3, "", 50});
+  this->scheduler.Sync(report, this->now);
+  EXPECT_TRUE(this->Plan().starts.empty());
+  this->scheduler.OnEnded("vm-1", {1, {kId, 0, 0, 0}, 3, EndKind::kDone, ""},
+                          this->now);
+  const auto dirty = this->scheduler.TakeDirty();
+  ASSERT_EQ(dirty.size(), 1u);
+  EXPECT_EQ(dirty[0].second.state, SubmissionState::kCompleted);
+}
+
+// Guards against stopping, or losing the end of, a run whose submission was
+// stored after the planner read the table: seen on lakeshore-pack trouble-3 as
+// two runs of one task at a time.
+TEST_F(SchedulerTest, TellsRunsAndEndsOfUnknownSubmissions) {
+  const std::vector<ActiveRun> running = {{{kId, 0, 0, 0}, 1, "", 0}};
+  const std::vector<EndedRun> ended = {
+      {1, {kId, 0, 0, 1}, 1, EndKind::kDone, ""}};
+  EXPECT_FALSE(this->scheduler.KnowsAll(running, {}));
+  EXPECT_FALSE(this->scheduler.KnowsAll({}, ended));
+  this->Add(MakeSubmission(kId, {MakeStep(2, 1000)}), /*certain=*/false);
+  EXPECT_TRUE(this->scheduler.KnowsAll(running, ended));
+}
+
+// Guards against a restart while a VM that is cut off may still run the task.
+TEST_F(SchedulerTest, SilentWorkerKeepsItsTasksUntilItsAuthorityEnds) {
+  this->scheduler.Sync(MakeReport("vm-1"), this->now);
+  this->Add(MakeSubmission(kId, {MakeStep(1, 1000)}));
+  ASSERT_EQ(this->Plan().starts.size(), 1u);
+  this->scheduler.ExtendAuthority("vm-1", this->now + absl::Seconds(6));
+  this->scheduler.Disconnected("vm-1");
+  this->scheduler.Sync(MakeReport("vm-2"), this->now);
+  this->now += absl::Seconds(5);
+  this->scheduler.Expire(this->now);
+  EXPECT_TRUE(this->Plan().starts.empty());
+  this->now += absl::Seconds(2);
+  this->scheduler.Expire(this->now);
+  const Orders orders = this->Plan();
+  ASSERT_EQ(orders.starts.size(), 1u);
+  EXPECT_EQ(orders.starts[0].vm, "vm-2");
+  EXPECT_EQ(orders.starts[0].run, 2u);
+}
+
+TEST_F(SchedulerTest, NewLifeOfARunnerEndsItsTasks) {
+  this->scheduler.Sync(MakeReport("vm-1", 1), this->now);
+  this->Add(MakeSubmission(kId, {MakeStep(1, 1000)}));
+  ASSERT_EQ(this->Plan().starts.size(), 1u);
+  this->scheduler.Sync(MakeReport("vm-1", 2), this->now);
+  const Orders orders = this->Plan();
+  ASSERT_EQ(orders.starts.size(), 1u);
+  EXPECT_EQ(orders.starts[0].run, 2u);
+}
+
+// Guards against counting one failure twice when two planners are told of it.
+TEST_F(SchedulerTest, FailsAfterTheLimitOfDifferentRuns) {
+  this->scheduler.Sync(MakeReport("vm-1"), this->now);
+  this->scheduler.Sync(MakeReport("vm-2"), this->now);
+  this->Add(MakeSubmission(kId, {MakeStep(1, 1000)}));
+  const Orders first = this->Plan();
+  ASSERT_EQ(first.starts.size(), 1u);
+  this->End(first.starts[0], EndKind::kFailed);
+  this->End(first.starts[0], EndKind::kFailed);
+  const Orders second = this->Plan();
+  ASSERT_EQ(second.starts.size(), 1u);
+  EXPECT_NE(second.starts[0].vm, first.starts[0].vm);
+  EXPECT_EQ(second.starts[0].run, 2u);
+  this->scheduler.TakeDirty();
+  this->End(second.starts[0], EndKind::kFailed);
+  const auto dirty = this->scheduler.TakeDirty();
+  ASSERT_EQ(dirty.size(), 1u);
+  EXPECT_EQ(dirty[0].second.state, SubmissionState::kFailed);
+  EXPECT_TRUE(this->Plan().starts.empty());
+}
+
+TEST_F(SchedulerTest, CancelStopsWhatRunsAndStartsNothing) {
+  this->scheduler.Sync(MakeReport("vm-1"), this->now);
+  this->Add(MakeSubmission(kId, {MakeStep(9, 1000)}));
+  ASSERT_EQ(this->Plan().starts.size(), 4u);
+  this->scheduler.Cancel(kId);
+  const Orders orders = this->Plan();
+  EXPECT_TRUE(orders.starts.empty());
+  EXPECT_EQ(orders.stops.size(), 4u);
+}
+
+// Guards against a cancellation that is read before its submission.
+TEST_F(SchedulerTest, CancellationAheadOfItsSubmissionHolds) {
+  this->scheduler.Sync(MakeReport("vm-1"), this->now);
+  this->scheduler.Cancel(kId);
+  this->Add(MakeSubmission(kId, {MakeStep(1, 1000)}));
+  EXPECT_TRUE(this->Plan().starts.empty());
+}
+
+TEST_F(SchedulerTest, ResumesFromTheCheckpointOfAStoppedRun) {
+  Step step = MakeStep(1, 1000);
+  step.checkpointed = true;
+  this->scheduler.Sync(MakeReport("vm-1"), this->now);
+  this->Add(MakeSubmission(kId, {step}));
+  const Orders first = this->Plan();
+  ASSERT_EQ(first.starts.size(), 1u);
+  this->scheduler.OnEnded(
+      "vm-1", {1, first.starts[0].task, 1, EndKind::kStopped, "point"},
+      this->now);
+  const Orders second = this->Plan();
+  ASSERT_EQ(second.starts.size(), 1u);
+  EXPECT_EQ(second.starts[0].checkpoint, "point");
+  EXPECT_EQ(second.starts[0].run, 2u);
+}
+
+// Guards against forgetting what is done, or the failures, at a takeover.
+TEST_F(SchedulerTest, ProgressSurvivesATakeover) {
+  this->scheduler.Sync(MakeReport("vm-1"), this->now);
+  this->Add(MakeSubmission(kId, {MakeStep(3, 1000)}));
+  const Orders first = this->Plan();
+  ASSERT_EQ(first.starts.size(), 3u);
+  this->End(first.starts[0], EndKind::kDone, 1);
+  this->End(first.starts[1], EndKind::kFailed, 2);
+  const auto dirty = this->scheduler.TakeDirty();
+  ASSERT_EQ(dirty.size(), 1u);
+  const auto stored = Decode<Progress>(Encode(dirty[0].second));
+  ASSERT_TRUE(stored);
+
+  Scheduler next;
+  next.SetPolicy(MakePolicy());
+  next.Add(MakeSubmission(kId, {MakeStep(3, 1000)}), stored.value(),
+           /*certain=*/false, this->now, this->now);
+  next.Sync(MakeReport("vm-1"), this->now);
+  const Orders orders = next.Plan(this->now);
+  EXPECT_EQ(orders.starts.size(), 2u);
+  for (const StartOrder& start : orders.starts) {
+    EXPECT_NE(start.task, first.starts[0].task);
+    // The second failure of this task is its last.
+    if (start.task == first.starts[1].task)
+      next.OnEnded("vm-1", {3, start.task, start.run, EndKind::kFailed, ""},
+                   this->now);
+  }
+  const auto after = next.TakeDirty();
+  ASSERT_EQ(after.size(), 1u);
+  EXPECT_EQ(after[0].second.state, SubmissionState::kFailed);
+}
+
+TEST_F(SchedulerTest, KeepsToTheLimitPerVmAndTheLabel) {
+  Step step = MakeStep(4, 100);
+  step.max_per_vm = 1;
+  step.required_label = "a";
+  WorkerReport other = MakeReport("vm-3");
+  other.info.labels = {"b", "rack-1"};
+  this->scheduler.Sync(MakeReport("vm-1"), this->now);
+  this->scheduler.Sync(MakeReport("vm-2"), this->now);
+  this->scheduler.Sync(other, this->now);
+  this->Add(MakeSubmission(kId, {step}));
+  const Orders orders = this->Plan();
+  ASSERT_EQ(orders.starts.size(), 2u);
+  EXPECT_NE(orders.starts[0].vm, orders.starts[1].vm);
+}
+
+TEST_F(SchedulerTest, NothingStartsOnADrainingRunner) {
+  WorkerReport report = MakeReport("vm-1");
+  report.info.draining = true;
+  this->scheduler.Sync(report, this->now);
+  this->Add(MakeSubmission(kId, {MakeStep(1, 100)}));
+  EXPECT_TRUE(this->Plan().starts.empty());
+}
+
+TEST_F(SchedulerTest, GangStartsWholeOrNotAtAll) {
+  Step step = MakeStep(5, 1000);
+  step.gang = true;
+  this->scheduler.Sync(MakeReport("vm-1"), this->now);
+  this->Add(MakeSubmission(kId, {step}));
+  EXPECT_TRUE(this->Plan().starts.empty());
+  this->scheduler.Sync(MakeReport("vm-2"), this->now);
+  const Orders orders = this->Plan();
+  ASSERT_EQ(orders.starts.size(), 5u);
+  for (const StartOrder& start : orders.starts)
+    EXPECT_EQ(start.run, 1u);
+  // One end stands for all members.
+  this->End(orders.starts[2], EndKind::kDone);
+  const auto dirty = this->scheduler.TakeDirty();
+  ASSERT_EQ(dirty.size(), 1u);
+  EXPECT_EQ(dirty[0].second.state, SubmissionState::kCompleted);
+}
+
+TEST_F(SchedulerTest, OccurrencesStartWhenTheyAreDue) {
+  Submission submission = MakeSubmission(kId, {MakeStep(1, 100)});
+  submission.scheduled = true;
+  submission.occurrences = 2;
+  submission.first_due_ms = absl::ToUnixMillis(this->now) + 1000;
+  submission.interval_ms = 5000;
+  this->scheduler.Sync(MakeReport("vm-1"), this->now);
+  this->Add(submission);
+  EXPECT_TRUE(this->Plan().starts.empty());
+  this->now += absl::Milliseconds(1001);
+  const Orders first = this->Plan();
+  ASSERT_EQ(first.starts.size(), 1u);
+  this->End(first.starts[0], EndKind::kDone);
+  EXPECT_TRUE(this->Plan().starts.empty());
+  this->now += absl::Seconds(5);
+  const Orders second = this->Plan();
+  ASSERT_EQ(second.starts.size(), 1u);
+  EXPECT_EQ(second.starts[0].task.occurrence, 1u);
+}
+
+// Guards against a task that lasts and waits behind batch work.
+TEST_F(SchedulerTest, TaskThatLastsPreemptsBatchWork) {
+  this->scheduler.Sync(MakeReport("vm-1"), this->now);
+  this->Add(MakeSubmission(kId, {MakeStep(4, 1000)}));
+  const Orders batch = this->Plan();
+  ASSERT_EQ(batch.starts.size(), 4u);
+  Step lasting = MakeStep(1, 1500);
+  lasting.long_running = true;
+  this->Add(MakeSubmission("00000000000000b2", {lasting}));
+  const Orders stops = this->Plan();
+  ASSERT_EQ(stops.stops.size(), 2u);
+  this->Add(MakeSubmission("00000000000000c3", {MakeStep(1, 500)}));
+  uint64_t number = 0;
+  for (const StopOrder& stop : stops.stops)
+    this->scheduler.OnEnded(
+        stop.vm, {++number, stop.task, stop.run, EndKind::kStopped, ""},
+        this->now);
+  const Orders starts = this->Plan();
+  ASSERT_FALSE(starts.starts.empty());
+  EXPECT_EQ(starts.starts[0].task.submission, "00000000000000b2");
+}
+
+}  // namespace
+}  // namespace cuminjunction
