Evacuate draining runners and bound the wait after a takeover

Long grants are now made only when every entry has said that it does not reach the store, so an entry that has not said so knows that none is in force and waits 7.6 s from the last commit it can have missed. They are 8.5 s instead of 16 s.

--- a/daemon/fleet_agent.cc
+++ b/daemon/fleet_agent.cc
@@ -86,6 +86,7 @@
       PlannerPortHandlers{
           .on_planner = [this] { this->Report(); },
           .on_lost = [] {},
+          .is_store_lost = nullptr,
           .on_ping = [this](const PlannerPing& ping) { this->OnPing(ping); },
           .on_message =
               [this](FleetMessage&& message) {
--- a/daemon/fleet_entry.cc
+++ b/daemon/fleet_entry.cc
@@ -104,6 +104,13 @@
       PlannerPortHandlers{
           .on_planner = [this] { this->OnPlanner(); },
           .on_lost = [this] { this->view.store_trouble = false; },
+          .is_store_lost =
+              [this] {
+                const bool lost = this->follower->IsStoreLost();
+                if (lost)
+                  this->view.last_lost_report = BootClock().Now();
+                return lost;
+              },
           .on_ping =
               [this](const PlannerPing& ping) {
                 this->view.store_trouble = ping.store_trouble;
@@ -146,6 +153,8 @@
       context, this->store.get(), this->log,
       [this](const FleetPolicy& policy) { this->planner->SetPolicy(policy); });
   this->follower->Start();
+  // What an earlier process on this VM has reported is not known.
+  this->view.last_lost_report = BootClock().Now();
   this->Tick();
   return Ok();
 }
--- a/daemon/fleet_message.h
+++ b/daemon/fleet_message.h
@@ -59,10 +59,13 @@
   int64_t stamp_us = 0;
   // The highest epoch that the process has seen.
   uint64_t highest_epoch = 0;
+  // The process is an entry that does not reach the store. It has promised to
+  // count with long grants if it becomes the planner.
+  bool store_lost = false;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->vm, this->stamp_us, this->highest_epoch);
+    archive(this->vm, this->stamp_us, this->highest_epoch, this->store_lost);
   }
 };
 
--- a/daemon/fleet_planner.cc
+++ b/daemon/fleet_planner.cc
@@ -23,17 +23,22 @@
 // work of a lost VM starts again within 7 s.
 constexpr absl::Duration kGrant = absl::Milliseconds(6000);
 
-// What agents are granted once commits fail, so that no work is lost to an
-// outage of the store and the takeover after it (up to 9 s on the sites).
-constexpr absl::Duration kOutageGrant = absl::Seconds(16);
+// What agents are granted while no entry reaches the store, so that no work is
+// lost to an outage (up to 9 s on the sites) and the takeover after it. The
+// last such grant is made kLeasePeriod after the last commit.
+const absl::Duration kOutageGrant = absl::Milliseconds(8500);
+
+// Factor for the rates of two clocks, and time for a message on its way.
+constexpr double kClockMargin = 1.04;
+const absl::Duration kGrantSlack = absl::Milliseconds(100);
 
 // A planner whose last commit is older than this is in trouble.
 constexpr absl::Duration kTroubleAfter = absl::Milliseconds(1300);
 
-// How long a silent worker of an earlier planner may still run: that planner's
-// lease, the longest grant, and the margin for clocks.
-const absl::Duration kEarlierAuthority =
-    kLeasePeriod + kOutageGrant + absl::Seconds(1);
+// An entry that has not told a planner for this long that it does not reach the
+// store knows that no long grant can be in force.
+const absl::Duration kLongGrantMemory =
+    kLeasePeriod + kOutageGrant * kClockMargin + absl::Seconds(1);
 
 // Events of one moment are planned together.
 constexpr std::chrono::milliseconds kRunDelay(2);
@@ -145,6 +150,7 @@
 
 void FleetPlanner::Tick(const PlannerView& view) {
   const absl::Time now = BootClock().Now();
+  this->last_lost_report = view.last_lost_report;
   if (view.epoch > this->lease.Epoch())
     this->StepDown();
   if (!this->lease.IsHeld()) {
@@ -166,10 +172,23 @@
 }
 
 absl::Duration FleetPlanner::Grant(absl::Time now) const {
-  if (now >= this->lease.ValidUntil())
-    return absl::ZeroDuration();
-  return now - this->lease.LastSuccess() > kTroubleAfter ? kOutageGrant
-                                                         : kGrant;
+  if (!this->InTrouble(now))
+    return kGrant;
+  if (now < this->lease.ValidUntil() && this->nodes.AllEntriesLostStore(now))
+    return kOutageGrant;
+  // Another entry may reach the store and take over.
+  return absl::ZeroDuration();
+}
+
+// When silent workers of the planner before this one have stopped for certain.
+absl::Time FleetPlanner::EarlierAuthorityEnd(absl::Time now) const {
+  const absl::Time last_commit = this->lease.PredecessorEnd();
+  // Long grants need the word of every entry, this one's too.
+  const bool long_grants = now - this->last_lost_report < kLongGrantMemory;
+  const absl::Duration after = long_grants
+                                   ? kLeasePeriod + kOutageGrant * kClockMargin
+                                   : kTroubleAfter + kGrant * kClockMargin;
+  return last_commit + after + kGrantSlack;
 }
 
 bool FleetPlanner::InTrouble(absl::Time now) const {
@@ -299,7 +318,7 @@
       continue;
     }
     if (node.value().agent && this->lease.Epoch() > 1)
-      this->scheduler->ExpectWorker(row.key, now + kEarlierAuthority);
+      this->scheduler->ExpectWorker(row.key, this->EarlierAuthorityEnd(now));
     this->nodes.Add(row.key, node.value());
   }
   this->log->Write(
--- a/daemon/fleet_planner.h
+++ b/daemon/fleet_planner.h
@@ -37,6 +37,9 @@
   bool connected = false;
   // When it was last heard, by the boot clock.
   absl::Time last_ping = absl::InfinitePast();
+  // When the entry last told a planner that it does not reach the store, or
+  // when it started.
+  absl::Time last_lost_report = absl::InfinitePast();
   // The highest epoch that the entry has seen.
   uint64_t epoch = 0;
   // It said that its commits fail.
@@ -93,6 +96,7 @@
   void SendStates(const std::vector<StateChange>& changes);
   void SendWaiting(absl::Time now);
   absl::Duration Grant(absl::Time now) const;
+  absl::Time EarlierAuthorityEnd(absl::Time now) const;
   bool InTrouble(absl::Time now) const;
 
   boost::asio::io_context* context;
@@ -109,6 +113,8 @@
   boost::asio::steady_timer run_timer;
   bool run_scheduled = false;
   bool stopping = false;
+  // When this entry last promised to count with long grants.
+  absl::Time last_lost_report = absl::InfinitePast();
   // Grows with each term, so that answers to calls of an earlier one are
   // ignored.
   uint64_t term = 0;
--- a/daemon/planner_lease.cc
+++ b/daemon/planner_lease.cc
@@ -12,7 +12,7 @@
 constexpr char kLeaseKey[] = "planner";
 
 // Limit for one call; a slow store answers in 240 ms (60 times 4 ms).
-constexpr absl::Duration kCallTimeout = absl::Milliseconds(800);
+constexpr absl::Duration kCallTimeout = absl::Milliseconds(500);
 
 // A lease row that has not changed for this long has no living holder: the
 // holder renews it every kRenewInterval.
@@ -75,6 +75,10 @@
       this->log->Write(LogLine("lease_row_damaged", LogLevel::kError)
                            .Add("error", decoded.error()));
     }
+    this->predecessor_end =
+        this->observed && this->observed->version == found.version
+            ? this->observed->since
+            : now;
     const bool still = this->observed &&
                        this->observed->version == found.version &&
                        now - this->observed->since >= kStandStill;
--- a/daemon/planner_lease.h
+++ b/daemon/planner_lease.h
@@ -85,6 +85,8 @@
   uint64_t Epoch() const { return this->row.epoch; }
   // Until when authority may be granted, by the boot clock.
   absl::Time ValidUntil() const { return this->last_success + kLeasePeriod; }
+  // Upper bound of the time of the last commit of the planner before this one.
+  absl::Time PredecessorEnd() const { return this->predecessor_end; }
   // Send time of the last commit that succeeded.
   absl::Time LastSuccess() const { return this->last_success; }
 
@@ -112,6 +114,7 @@
   PlannerLeaseHandlers handlers;
   boost::asio::steady_timer timer;
   std::optional<Observation> observed;
+  absl::Time predecessor_end = absl::InfinitePast();
   bool claiming = false;
   bool held = false;
   // What the commit under way writes, or the last one wrote.
--- a/daemon/planner_nodes.cc
+++ b/daemon/planner_nodes.cc
@@ -1,5 +1,6 @@
 #include "daemon/planner_nodes.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/time.h"
@@ -89,6 +90,8 @@
     return;
   node->link->Close();
   node->link = nullptr;
+  node->store_lost = false;
+  node->refused = reason == std::errc::connection_refused;
   node->retry_at = BootClock().Now() + kRetryPause;
   if (!std::exchange(node->answered, false))
     return;
@@ -152,6 +155,8 @@
   }
   const bool first = !std::exchange(node->answered, true);
   node->stamp_us = pong.stamp_us;
+  node->store_lost = pong.store_lost;
+  node->refused = false;
   if (!first)
     return;
   // The first stamp is granted at once, so that the agent may start tasks.
@@ -159,6 +164,16 @@
   this->handlers.on_connected(vm, node->row.agent);
 }
 
+bool PlannerNodes::AllEntriesLostStore(absl::Time now) const {
+  return std::all_of(this->nodes.begin(), this->nodes.end(),
+                     [&](const auto& entry) {
+                       const Node& node = entry.second;
+                       return node.row.agent || node.refused ||
+                              (node.answered && node.store_lost &&
+                               now - node.heard <= kSilence);
+                     });
+}
+
 void PlannerNodes::Send(const std::string& vm, const FleetMessage& message) {
   const auto found = this->nodes.find(vm);
   if (found != this->nodes.end() && found->second.link)
--- a/daemon/planner_nodes.h
+++ b/daemon/planner_nodes.h
@@ -57,6 +57,10 @@
   // agents are granted, zero for nothing.
   void Tick(absl::Duration grant, bool store_trouble);
 
+  // True when every entry has lately said that it does not reach the store.
+  // Entries that refuse connections are not running.
+  bool AllEntriesLostStore(absl::Time now) const;
+
   // Sends to a node; without a connection the message is dropped.
   void Send(const std::string& vm, const FleetMessage& message);
 
@@ -73,6 +77,10 @@
     absl::Time retry_at = absl::InfinitePast();
     absl::Time pinged = absl::InfinitePast();
     int64_t stamp_us = 0;
+    // The last answer said that the store is not reached.
+    bool store_lost = false;
+    // The last connection was refused, so that no process is there.
+    bool refused = false;
   };
 
   void Connect(const std::string& vm, Node* node);
--- a/daemon/planner_port.cc
+++ b/daemon/planner_port.cc
@@ -95,7 +95,7 @@
   if (sender == nullptr)
     return Ok();
   if (*sender < this->epoch) {
-    link->Send(EncodeFleetMessage(NodePong{this->vm, 0, this->epoch}));
+    link->Send(EncodeFleetMessage(NodePong{this->vm, 0, this->epoch, false}));
     return Ok();
   }
   if (const auto* ping = std::get_if<PlannerPing>(&message)) {
@@ -125,8 +125,10 @@
     }
   }
   this->last_ping = now;
-  link->Send(
-      EncodeFleetMessage(NodePong{this->vm, ToMicros(now), this->epoch}));
+  const bool store_lost =
+      this->handlers.is_store_lost && this->handlers.is_store_lost();
+  link->Send(EncodeFleetMessage(
+      NodePong{this->vm, ToMicros(now), this->epoch, store_lost}));
   if (changed)
     this->handlers.on_planner();
   this->handlers.on_ping(ping);
--- a/daemon/planner_port.h
+++ b/daemon/planner_port.h
@@ -31,6 +31,9 @@
   std::function<void()> on_planner;
   // The connection of the planner in charge has ended.
   std::function<void()> on_lost;
+  // Whether the process is an entry that does not reach the store; asked before
+  // each answer to a ping. May be empty.
+  std::function<bool()> is_store_lost;
   // A ping of the planner in charge, after it was answered.
   std::function<void(const PlannerPing&)> on_ping;
   // Any other message of the planner in charge.
--- a/daemon/policy_follower.cc
+++ b/daemon/policy_follower.cc
@@ -3,7 +3,6 @@
 #include <chrono>
 #include <utility>
 
-#include "base/time.h"
 #include "platform/bodies.h"
 
 namespace cuminjunction {
@@ -56,7 +55,6 @@
 }
 
 void PolicyFollower::OnAnswer() {
-  this->last_answer = BootClock().Now();
   if (std::exchange(this->store_lost, false))
     this->log->Write(LogLine("store_regained"));
 }
--- a/daemon/policy_follower.h
+++ b/daemon/policy_follower.h
@@ -15,7 +15,6 @@
 #include <functional>
 #include <vector>
 
-#include "absl/time/time.h"
 #include "base/log.h"
 #include "platform/store.h"
 #include "submission/policy.h"
@@ -35,8 +34,8 @@
   void Start();
 
   const FleetPolicy& Policy() const { return this->policy; }
-  // When the store last answered, by the boot clock.
-  absl::Time LastAnswer() const { return this->last_answer; }
+  // The last call to the store failed.
+  bool IsStoreLost() const { return this->store_lost; }
 
  private:
   void Read();
@@ -52,7 +51,6 @@
   FleetPolicy policy;
   int64_t version = 0;
   bool store_lost = false;
-  absl::Time last_answer = absl::InfinitePast();
 };
 
 }  // namespace cuminjunction
--- a/daemon/runner_guard.cc
+++ b/daemon/runner_guard.cc
@@ -31,6 +31,9 @@
 
 constexpr absl::Duration kRetryPause = absl::Milliseconds(80);
 
+// How long a runner may still run after it has said that it ends.
+constexpr absl::Duration kLeaveTime = absl::Milliseconds(500);
+
 // Figures of the runner cover half a second each.
 constexpr absl::Duration kLookInterval = absl::Milliseconds(500);
 
@@ -95,7 +98,8 @@
     return std::nullopt;
   const absl::Duration lease =
       std::min(left, this->options.max_lease) * kPassedOn;
-  this->lease_end = std::max(this->lease_end, now + lease / kRunnerClockRate);
+  if (!this->leaving)
+    this->lease_end = std::max(this->lease_end, now + lease / kRunnerClockRate);
   // The least that the runner's clock can show now, so that the lease does not
   // last longer than intended.
   const absl::Duration passed = (now - this->clock_at) * kRunnerClockRate;
@@ -192,9 +196,9 @@
   }
   if (!first)
     this->StopUnexpected(before);
-  this->SettleStarts();
   if (!fresh.empty())
     this->handlers.on_ended(this->born_ms, std::move(fresh));
+  this->SettleStarts();
 }
 
 void RunnerGuard::StopUnexpected(
@@ -217,10 +221,30 @@
 }
 
 void RunnerGuard::SettleStarts() {
-  std::erase_if(this->starting, [&](const auto& entry) {
+  std::vector<PendingStart> gone;
+  for (auto entry = this->starting.begin(); entry != this->starting.end();) {
+    const PendingStart& start = entry->second;
     // A list that was asked for before the start may not have it yet.
-    return entry.second.accepted < this->hold_sent;
-  });
+    if (start.accepted >= this->hold_sent) {
+      ++entry;
+      continue;
+    }
+    const auto listed = this->running.find(entry->first);
+    const bool runs = listed != this->running.end() &&
+                      listed->second.running.run == start.order.run;
+    const bool has_ended = std::any_of(
+        this->ended.begin(), this->ended.end(), [&](const EndedRun& end) {
+          return end.task == entry->first && end.run == start.order.run;
+        });
+    if (!runs && !has_ended)
+      gone.push_back(start);
+    entry = this->starting.erase(entry);
+  }
+  for (const PendingStart& start : gone) {
+    this->descriptions.erase(start.order.task);
+    this->handlers.on_refused(start.order.task, start.order.run,
+                              start.abandoned.value_or(StartOutcome::kOldRun));
+  }
 }
 
 void RunnerGuard::NewLife(int64_t born) {
@@ -231,6 +255,7 @@
                          .Add("lost_runs", this->running.size()));
   }
   this->born_ms = born;
+  this->leaving = false;
   this->reported = 0;
   this->confirmed = 0;
   // A whole report follows, so the runner counts as lost until then.
@@ -265,9 +290,9 @@
 }
 
 void RunnerGuard::OnRunnerLeft() {
-  this->log->Write(LogLine("runner_left")
-                       .Add("born_ms", this->born_ms)
-                       .Add("lost_runs", this->running.size()));
+  // It ends right after it has said so, and its runs with it.
+  this->lease_end = std::min(this->lease_end, BootClock().Now() + kLeaveTime);
+  this->leaving = true;
 }
 
 void RunnerGuard::RaiseFence() {
@@ -367,10 +392,9 @@
       this->GiveUp(task, StartOutcome::kNoRoom);
       return;
     case OrderResult::kOldRun:
-      // With a lost answer before, the run may have started and ended; its end
-      // is in the list then.
-      this->starting.erase(found);
-      this->handlers.on_refused(task, run, StartOutcome::kOldRun);
+      // With a lost answer before, the run may have started and ended; the next
+      // list tells.
+      pending.accepted = BootClock().Now();
       return;
     default:
       this->GiveUp(task, StartOutcome::kRefused);
@@ -425,12 +449,8 @@
         const auto found = this->starting.find(task);
         if (found == this->starting.end() || found->second.order.run != run)
           return;
-        const StartOutcome outcome =
-            found->second.abandoned.value_or(StartOutcome::kRefused);
-        this->starting.erase(found);
-        // If it ran after all, its end is in the list and comes first.
-        if (!this->running.contains(task))
-          this->handlers.on_refused(task, run, outcome);
+        // It may have run before it was stopped; the next list tells.
+        found->second.accepted = BootClock().Now();
       });
 }
 
--- a/daemon/runner_guard.h
+++ b/daemon/runner_guard.h
@@ -150,6 +150,8 @@
   bool known = false;
   bool alive = false;
   bool holding = false;
+  // The runner has said that it ends.
+  bool leaving = false;
   absl::Time hold_sent;
   int64_t born_ms = 0;
   // The runner's clock, and when it was read.
--- a/submission/scheduler.h
+++ b/submission/scheduler.h
@@ -192,6 +192,7 @@
                  const TaskSlot& slot,
                  absl::Time now,
                  double* cost);
+  void Evacuate(Orders* orders, absl::Time now);
   void MoveDisturbers(Orders* orders, absl::Time now);
   void Preempt(const Candidate& candidate, Orders* orders, absl::Time now);
   bool MayStart(const TaskSlot& slot, absl::Time now) const;
--- a/submission/scheduler_plan.cc
+++ b/submission/scheduler_plan.cc
@@ -16,6 +16,9 @@
 // where there is room.
 constexpr absl::Duration kMaxWaitForQuiet = absl::Milliseconds(1500);
 
+// A task with less estimated time left stays on a runner that drains.
+constexpr absl::Duration kWorthMoving = absl::Seconds(1);
+
 // Filling tasks that disturb are moved at most this often, a few at a time,
 // and not before they have run for a while: a move costs a stop and a restore.
 constexpr absl::Duration kMoveInterval = absl::Milliseconds(300);
@@ -44,6 +47,7 @@
   Orders orders;
   this->AddOccurrences(now);
   this->StopUnwanted(&orders);
+  this->Evacuate(&orders, now);
   std::vector<Candidate> candidates = this->Candidates(now);
   std::stable_sort(
       candidates.begin(), candidates.end(),
@@ -61,6 +65,32 @@
   return orders;
 }
 
+// A runner that drains takes what is on it along when it leaves, at the
+// earliest 2 s after it said so. What lasts moves at once, and what has a
+// checkpoint unless it is about to end; the rest may end in time.
+void Scheduler::Evacuate(Orders* orders, absl::Time now) {
+  for (auto& [vm, worker] : this->workers) {
+    if (!worker->synced || !worker->info.draining)
+      continue;
+    for (auto& [task, placed] : worker->placed) {
+      if (placed.stopping || (!placed.long_running && !placed.checkpointed))
+        continue;
+      ActiveSubmission* job = this->FindActive(task.submission);
+      if (job == nullptr || IsFinal(job->state) ||
+          job->submission.steps[task.step].gang)
+        continue;
+      const absl::Duration left =
+          placed.since +
+          absl::Milliseconds(job->submission.steps[task.step].estimate_ms) -
+          now;
+      if (!placed.long_running && left < kWorthMoving)
+        continue;
+      placed.stopping = true;
+      orders->stops.push_back({vm, task, placed.run, "draining"});
+    }
+  }
+}
+
 void Scheduler::MoveDisturbers(Orders* orders, absl::Time now) {
   int moves = 0;
   for (auto& [vm, worker] : this->workers) {
--- a/submission/testing/scheduler_test.cc
+++ b/submission/testing/scheduler_test.cc
@@ -303,6 +303,35 @@
   EXPECT_TRUE(this->Plan().starts.empty());
 }
 
+// Guards against leaving lasting tasks on a runner until it is gone, which the
+// users' rules count as work that was lost: seen on lakeshore-pack mix
+// 217262503272.
+TEST_F(SchedulerTest, LastingAndCheckpointedTasksLeaveADrainingRunner) {
+  Step lasting = MakeStep(1, 500);
+  lasting.long_running = true;
+  Step checkpointed = MakeStep(1, 500);
+  checkpointed.checkpointed = true;
+  checkpointed.estimate_ms = 5000;
+  Step plain = MakeStep(1, 500);
+  plain.estimate_ms = 5000;
+  this->scheduler.Sync(MakeReport("vm-1"), this->now);
+  this->Add(MakeSubmission(kId, {lasting}));
+  this->Add(MakeSubmission("00000000000000b2", {checkpointed}));
+  this->Add(MakeSubmission("00000000000000c3", {plain}));
+  ASSERT_EQ(this->Plan().starts.size(), 3u);
+  RunnerInfo info = MakeReport("vm-1").info;
+  info.draining = true;
+  this->scheduler.UpdateInfo("vm-1", info, true);
+  this->scheduler.Sync(MakeReport("vm-2"), this->now);
+  const Orders stops = this->Plan();
+  ASSERT_EQ(stops.stops.size(), 2u);
+  for (const StopOrder& stop : stops.stops) {
+    EXPECT_EQ(stop.vm, "vm-1");
+    EXPECT_NE(stop.task.submission, "00000000000000c3");
+  }
+  EXPECT_TRUE(this->Plan().stops.empty());
+}
+
 TEST_F(SchedulerTest, GangStartsWholeOrNotAtAll) {
   Step step = MakeStep(5, 1000);
   step.gang = true;
