--- a/submission/neighbours.cc
+++ b/submission/neighbours.cc
@@ -36,15 +36,14 @@
   const bool quiet = tail_share <= kQuietTail;
   double suspicion = 0;
   for (const FillingImage& filler : filling)
-    suspicion += this->Harm(serving, filler.image) * WeightOf(filler);
+    suspicion += this->Suspicion(serving, filler);
   for (const FillingImage& filler : filling) {
     const double weight = WeightOf(filler);
     // A tail that is quiet while an image is slowed down clears nobody.
     if (weight <= 0 || (quiet && !filler.at_full_share))
       continue;
     const double blame =
-        suspicion > 0 ? this->Harm(serving, filler.image) * weight / suspicion
-                      : 0;
+        suspicion > 0 ? this->Suspicion(serving, filler) / suspicion : 0;
     Evidence& evidence = this->pairs[{serving, filler.image}];
     evidence.quiet *= kKept;
     evidence.disturbed *= kKept;
@@ -55,6 +54,14 @@
   }
 }
 
+// The third power lets the most suspect image take most of the blame; with the
+// harm itself an innocent image that is often in bad company keeps a third.
+double Neighbours::Suspicion(const std::string& serving,
+                             const FillingImage& filler) const {
+  const double harm = this->Harm(serving, filler.image);
+  return harm * harm * harm * WeightOf(filler);
+}
+
 double Neighbours::Harm(const std::string& serving,
                         const std::string& filling) const {
   const auto found = this->pairs.find({serving, filling});
--- a/submission/neighbours.h
+++ b/submission/neighbours.h
@@ -81,6 +81,9 @@
     double disturbed = 0;
   };
 
+  double Suspicion(const std::string& serving,
+                   const FillingImage& filler) const;
+
   std::map<std::pair<std::string, std::string>, Evidence> pairs;
 };
 
