--- a/base/tagged.h
+++ b/base/tagged.h
@@ -6,7 +6,8 @@
 //
 //   using Message = std::variant<Ping, Pong>;
 //   std::string payload = EncodeTagged(Message(Ping{}));
-//   Result<Message> message = DecodeTagged<Message>(payload, Error::kUnknownTag);
+//   Result<Message> message = DecodeTagged<Message>(payload,
+//   Error::kUnknownTag);
 
 #include <cstddef>
 #include <cstdint>
--- a/daemon/fleet_planner.cc
+++ b/daemon/fleet_planner.cc
@@ -203,7 +203,7 @@
   rows->started = BootClock().Now();
   this->nodes.Begin(epoch);
   this->feed_versions.clear();
-  this->LoadNext(std::move(rows));
+  this->LoadNext(rows);
 }
 
 void FleetPlanner::StepDown() {
@@ -230,18 +230,18 @@
   });
 }
 
-void FleetPlanner::LoadNext(std::shared_ptr<LoadedRows> rows) {
+void FleetPlanner::LoadNext(const std::shared_ptr<LoadedRows>& rows) {
   if (rows->left.empty()) {
     this->OnLoaded(*rows);
     return;
   }
   const std::string table = rows->left.back();
-  this->LoadTable(table, "", std::move(rows));
+  this->LoadTable(table, "", rows);
 }
 
 void FleetPlanner::LoadTable(const std::string& table,
                              const std::string& from,
-                             std::shared_ptr<LoadedRows> rows) {
+                             const std::shared_ptr<LoadedRows>& rows) {
   this->store->Read(
       table, from, 0, kReadTimeout,
       [this, table, from, rows](RowsReply&& reply) {
@@ -306,8 +306,10 @@
     if (known != progress.end())
       kept = known->second;
     // The first planner ever has no predecessor whose starts it can't know.
-    const bool certain = this->lease.Epoch() == 1;
-    this->scheduler->Add(submission.value(), kept, certain, now, wall);
+    const Certainty certainty = this->lease.Epoch() == 1
+                                    ? Certainty{}
+                                    : UncertainSince(this->lease.Epoch());
+    this->scheduler->Add(submission.value(), kept, certainty, now, wall);
   }
   for (const StoreRow& row : find(kCancellationTable))
     this->scheduler->Cancel(row.key);
@@ -429,9 +431,9 @@
   }
   // Its entry may have told an earlier planner that still reaches a worker
   // which this one does not.
-  const bool certain = this->scheduler->UnresolvedCount() == 0;
-  this->scheduler->Add(submission.value(), std::nullopt, certain,
-                       BootClock().Now(), absl::Now());
+  this->scheduler->Add(submission.value(), std::nullopt,
+                       UncertainSince(this->lease.Epoch()), BootClock().Now(),
+                       absl::Now());
 }
 
 void FleetPlanner::OnNodeMessage(const std::string& node,
@@ -533,9 +535,9 @@
         node, PairsNotice{this->lease.Epoch(), this->scheduler->PairsOn(node)});
     return;
   } else if (const auto* accepted = std::get_if<AcceptedNotice>(&message)) {
-    const bool certain =
-        accepted->first || this->scheduler->UnresolvedCount() == 0;
-    this->scheduler->Add(accepted->submission, std::nullopt, certain, now,
+    const Certainty certainty =
+        accepted->first ? Certainty{} : UncertainSince(this->lease.Epoch());
+    this->scheduler->Add(accepted->submission, std::nullopt, certainty, now,
                          absl::Now());
   } else if (const auto* cancelled = std::get_if<CancelledNotice>(&message)) {
     this->scheduler->Cancel(cancelled->submission);
@@ -650,6 +652,8 @@
                          .Add("run", static_cast<uint64_t>(start.run))
                          .Add("vm", start.vm)
                          .Add("image", start.step->image)
+                         .Add("estimate_ms", start.step->estimate_ms)
+                         .Add("millicores", start.step->size.millicores)
                          .Add("cost", start.cost));
   }
   for (auto& [node, message] : starts)
--- a/daemon/fleet_planner.h
+++ b/daemon/fleet_planner.h
@@ -74,8 +74,8 @@
   void StepDown();
   void LoadTable(const std::string& table,
                  const std::string& from,
-                 std::shared_ptr<LoadedRows> rows);
-  void LoadNext(std::shared_ptr<LoadedRows> rows);
+                 const std::shared_ptr<LoadedRows>& rows);
+  void LoadNext(const std::shared_ptr<LoadedRows>& rows);
   void OnLoaded(const LoadedRows& rows);
   void FollowNodes();
   void RepairFromFeeds(absl::Time now);
--- a/daemon/planner_lease.h
+++ b/daemon/planner_lease.h
@@ -107,7 +107,6 @@
   std::optional<std::pair<LeaseRow, int64_t>> FindLease(
       const std::vector<StoreRow>& rows) const;
 
-  boost::asio::io_context* context;
   Store* store;
   std::string holder;
   Log* log;
--- a/daemon/planner_port.cc
+++ b/daemon/planner_port.cc
@@ -33,8 +33,7 @@
                          std::string vm,
                          Log* log,
                          PlannerPortHandlers handlers)
-    : thread(thread),
-      vm(std::move(vm)),
+    : vm(std::move(vm)),
       log(log),
       handlers(std::move(handlers)),
       acceptor(thread->Context()) {}
--- a/daemon/planner_port.h
+++ b/daemon/planner_port.h
@@ -69,7 +69,6 @@
   void OnPing(const std::shared_ptr<FrameLink>& link, const PlannerPing& ping);
   void OnClosed(const std::shared_ptr<FrameLink>& link, std::error_code reason);
 
-  EventThread* thread;
   std::string vm;
   Log* log;
   PlannerPortHandlers handlers;
--- a/daemon/runner_guard.cc
+++ b/daemon/runner_guard.cc
@@ -351,7 +351,7 @@
   this->runner->Start(start, [this, open = this->open, task,
                               run = start.run](OrderReply&& reply) {
     if (*open)
-      this->OnStartReply(task, run, std::move(reply));
+      this->OnStartReply(task, run, reply);
   });
 }
 
@@ -365,7 +365,7 @@
 
 void RunnerGuard::OnStartReply(const TaskRef& task,
                                uint32_t run,
-                               OrderReply&& reply) {
+                               const OrderReply& reply) {
   this->TakeClock(reply, BootClock().Now());
   const auto found = this->starting.find(task);
   if (found == this->starting.end() || found->second.order.run != run)
--- a/daemon/runner_guard.h
+++ b/daemon/runner_guard.h
@@ -128,7 +128,7 @@
   std::optional<int64_t> LeaseUntilMs(absl::Time now);
   absl::Duration WaitFor() const;
   void TryStart(const TaskRef& task);
-  void OnStartReply(const TaskRef& task, uint32_t run, OrderReply&& reply);
+  void OnStartReply(const TaskRef& task, uint32_t run, const OrderReply& reply);
   void RetryStart(const TaskRef& task, uint32_t run);
   void GiveUp(const TaskRef& task, StartOutcome outcome);
   void SendStop(const TaskRef& task, uint32_t run, bool report);
--- a/submission/active.cc
+++ b/submission/active.cc
@@ -9,9 +9,9 @@
 
 constexpr int kBitsPerByte = 8;
 
-// How far beyond the numbers it knows a planner starts to number the runs of a
-// task that an earlier planner may have started without a record.
-constexpr uint32_t kUnknownRuns = 8;
+// Run numbers that one planner has for a task: more than it can use in the
+// seconds before the progress of the task is stored or its successor knows.
+constexpr uint32_t kRunsOfOnePlanner = 64;
 
 bool TestBit(const std::string& bits, size_t index) {
   const size_t byte = index / kBitsPerByte;
@@ -36,16 +36,15 @@
 
 OccurrenceSlots MakeOccurrence(const ActiveSubmission& job,
                                uint32_t number,
-                               bool certain) {
+                               Certainty certainty) {
   OccurrenceSlots slots;
   slots.due = DueTime(job, number);
   for (const Step& step : job.submission.steps) {
     StepSlots& tasks = slots.steps.emplace_back();
     tasks.tasks.resize(step.count);
     for (TaskSlot& task : tasks.tasks) {
-      task.certain = certain;
-      if (!certain)
-        task.run = kUnknownRuns;
+      task.certain = certainty.certain;
+      task.run = certainty.run_floor;
     }
   }
   return slots;
@@ -73,7 +72,7 @@
         job, {job->submission.id, task.occurrence, task.step, task.index});
     if (slot == nullptr)
       continue;
-    slot->run = task.last_run + (slot->certain ? 0 : kUnknownRuns);
+    slot->run = std::max(slot->run, task.last_run);
     slot->failed_runs = task.failed_runs;
     slot->checkpoint = task.checkpoint;
   }
@@ -81,6 +80,10 @@
 
 }  // namespace
 
+Certainty UncertainSince(uint64_t epoch) {
+  return {false, static_cast<uint32_t>(epoch - 1) * kRunsOfOnePlanner};
+}
+
 absl::Time DueTime(const ActiveSubmission& active, uint32_t occurrence) {
   const Submission& submission = active.submission;
   const int64_t wall_ms =
@@ -94,7 +97,7 @@
 ActiveSubmission Activate(const Submission& submission,
                           const Queue& queue,
                           const std::optional<Progress>& progress,
-                          bool certain,
+                          Certainty certainty,
                           absl::Time now,
                           absl::Time wall) {
   ActiveSubmission job;
@@ -114,8 +117,8 @@
       progress ? progress->done.size() / submission.steps.size() : 0;
   while (job.occurrences.size() < stored)
     job.occurrences.push_back(MakeOccurrence(
-        job, static_cast<uint32_t>(job.occurrences.size()), certain));
-  AddDueOccurrences(&job, certain, now);
+        job, static_cast<uint32_t>(job.occurrences.size()), certainty));
+  AddDueOccurrences(&job, certainty, now);
   if (progress) {
     ApplyDone(&job, progress->done);
     ApplyTasks(&job, *progress);
@@ -123,12 +126,14 @@
   return job;
 }
 
-void AddDueOccurrences(ActiveSubmission* job, bool certain, absl::Time now) {
+void AddDueOccurrences(ActiveSubmission* job,
+                       Certainty certainty,
+                       absl::Time now) {
   while (job->occurrences.size() < job->submission.occurrences) {
     const auto next = static_cast<uint32_t>(job->occurrences.size());
     if (job->submission.scheduled && DueTime(*job, next) > now)
       return;
-    job->occurrences.push_back(MakeOccurrence(*job, next, certain));
+    job->occurrences.push_back(MakeOccurrence(*job, next, certainty));
   }
 }
 
--- a/submission/active.h
+++ b/submission/active.h
@@ -82,17 +82,33 @@
 // submission was accepted.
 absl::Time DueTime(const ActiveSubmission& active, uint32_t occurrence);
 
+// What is known of the runs of a submission's tasks when it is added.
+struct Certainty {
+  // No run can exist that this planner has not heard of.
+  bool certain = true;
+  // The highest run number that earlier planners can have used. The numbers of
+  // two planners never overlap, since the failures of a task are told apart by
+  // them.
+  uint32_t run_floor = 0;
+};
+
+// The highest run number that planners of lower epochs can have used for a
+// task of which nothing is stored.
+Certainty UncertainSince(uint64_t epoch);
+
 // Starts from what is stored of its progress. `now` is of the boot clock and
 // `wall` of the system clock, at the same moment.
 ActiveSubmission Activate(const Submission& submission,
                           const Queue& queue,
                           const std::optional<Progress>& progress,
-                          bool certain,
+                          Certainty certainty,
                           absl::Time now,
                           absl::Time wall);
 
-// Adds the occurrences that are due. `certain` is for their tasks.
-void AddDueOccurrences(ActiveSubmission* job, bool certain, absl::Time now);
+// Adds the occurrences that are due.
+void AddDueOccurrences(ActiveSubmission* job,
+                       Certainty certainty,
+                       absl::Time now);
 
 // True when all steps that the step waits for are done.
 bool IsReady(const ActiveSubmission& job,
--- a/submission/rank.h
+++ b/submission/rank.h
@@ -14,8 +14,8 @@
 // since they lose with every second, and a submission that has begun keeps its
 // turn because its work left shrinks.
 
-#include <compare>
 #include <cstdint>
+#include <tuple>
 
 #include "absl/time/time.h"
 
@@ -53,7 +53,8 @@
   Outlook outlook = Outlook::kInTime;
   double work_left = 0;
 
-  auto operator<=>(const Rank&) const = default;
+  auto operator<=>(const Rank&) const =
+      default;  // NOLINT(modernize-use-nullptr)
 };
 
 Rank RankOf(const RankFacts& facts);
--- a/submission/scheduler.cc
+++ b/submission/scheduler.cc
@@ -40,7 +40,7 @@
 
 void Scheduler::Add(const Submission& submission,
                     const std::optional<Progress>& progress,
-                    bool certain,
+                    Certainty certainty,
                     absl::Time now,
                     absl::Time wall) {
   if (this->jobs.contains(submission.id))
@@ -52,7 +52,7 @@
   else
     queue.name = submission.queue;
   auto job = std::make_unique<ActiveSubmission>(
-      Activate(submission, queue, progress, certain, now, wall));
+      Activate(submission, queue, progress, certainty, now, wall));
   const bool final = IsFinal(job->state);
   this->jobs[submission.id] = std::move(job);
   if (!final) {
--- a/submission/scheduler.h
+++ b/submission/scheduler.h
@@ -6,7 +6,7 @@
 //
 //   Scheduler scheduler;
 //   scheduler.SetPolicy(policy, now);
-//   scheduler.Add(submission, std::nullopt, /*certain=*/true, now, wall);
+//   scheduler.Add(submission, std::nullopt, {}, now, wall);
 //   scheduler.Sync(report, now);
 //   for (const StartOrder& start : scheduler.Plan(now).starts) ...
 //
@@ -84,12 +84,11 @@
   // Takes a configuration of a higher version.
   void SetPolicy(const FleetPolicy& policy);
 
-  // Adds a submission unless it is known. `certain` is false for one that an
-  // earlier planner may have started. `now` is of the boot clock, as in all
+  // Adds a submission unless it is known. `now` is of the boot clock, as in all
   // calls, and `wall` of the system clock, at the same moment.
   void Add(const Submission& submission,
            const std::optional<Progress>& progress,
-           bool certain,
+           Certainty certainty,
            absl::Time now,
            absl::Time wall);
 
--- a/submission/scheduler_plan.cc
+++ b/submission/scheduler_plan.cc
@@ -129,7 +129,7 @@
   for (const std::string& id : this->live) {
     ActiveSubmission* job = this->FindActive(id);
     if (job->submission.scheduled)
-      AddDueOccurrences(job, /*certain=*/true, now);
+      AddDueOccurrences(job, {}, now);
   }
 }
 
--- a/submission/testing/scheduler_test.cc
+++ b/submission/testing/scheduler_test.cc
@@ -57,8 +57,8 @@
  protected:
   SchedulerTest() { this->scheduler.SetPolicy(MakePolicy()); }
 
-  void Add(const Submission& submission, bool certain = true) {
-    this->scheduler.Add(submission, std::nullopt, certain, this->now,
+  void Add(const Submission& submission, Certainty certainty = {}) {
+    this->scheduler.Add(submission, std::nullopt, certainty, this->now,
                         this->now);
   }
 
@@ -120,7 +120,7 @@
 TEST_F(SchedulerTest, UncertainTasksWaitForEveryWorkerOfAnEarlierPlanner) {
   this->scheduler.ExpectWorker("vm-1", this->now + absl::Seconds(20));
   this->scheduler.ExpectWorker("vm-2", this->now + absl::Seconds(20));
-  this->Add(MakeSubmission(kId, {MakeStep(1, 1000)}), /*certain=*/false);
+  this->Add(MakeSubmission(kId, {MakeStep(1, 1000)}), UncertainSince(2));
   this->scheduler.Sync(MakeReport("vm-1"), this->now);
   EXPECT_TRUE(this->Plan().starts.empty());
   // A submission that no other planner can know goes ahead.
@@ -139,7 +139,7 @@
 
 TEST_F(SchedulerTest, AdoptsRunsThatAWorkerReports) {
   this->scheduler.ExpectWorker("vm-1", this->now + absl::Seconds(20));
-  this->Add(MakeSubmission(kId, {MakeStep(1, 1000)}), /*certain=*/false);
+  this->Add(MakeSubmission(kId, {MakeStep(1, 1000)}), UncertainSince(2));
   WorkerReport report = MakeReport("vm-1");
   report.running.push_back({{kId, 0, 0, 0}, 3, "", 50});
   this->scheduler.Sync(report, this->now);
@@ -160,7 +160,7 @@
       {1, {kId, 0, 0, 1}, 1, EndKind::kDone, ""}};
   EXPECT_FALSE(this->scheduler.KnowsAll(running, {}));
   EXPECT_FALSE(this->scheduler.KnowsAll({}, ended));
-  this->Add(MakeSubmission(kId, {MakeStep(2, 1000)}), /*certain=*/false);
+  this->Add(MakeSubmission(kId, {MakeStep(2, 1000)}), UncertainSince(2));
   EXPECT_TRUE(this->scheduler.KnowsAll(running, ended));
 }
 
@@ -214,6 +214,26 @@
   EXPECT_TRUE(this->Plan().starts.empty());
 }
 
+// Guards against one run number for two runs: each of two planners started a
+// task without a record, both runs failed and were counted as one. Seen on
+// lakeshore-pack trouble-3 as a third attempt of two.
+TEST_F(SchedulerTest, PlannersNeverShareRunNumbers) {
+  this->scheduler.Sync(MakeReport("vm-1"), this->now);
+  std::vector<uint32_t> runs;
+  for (uint64_t epoch = 2; epoch < 5; ++epoch) {
+    Scheduler planner;
+    planner.SetPolicy(MakePolicy());
+    planner.Sync(MakeReport("vm-1"), this->now);
+    planner.Add(MakeSubmission(kId, {MakeStep(1, 1000)}), std::nullopt,
+                UncertainSince(epoch), this->now, this->now);
+    const Orders orders = planner.Plan(this->now);
+    ASSERT_EQ(orders.starts.size(), 1u);
+    runs.push_back(orders.starts[0].run);
+  }
+  EXPECT_GT(runs[1], runs[0] + 8);
+  EXPECT_GT(runs[2], runs[1] + 8);
+}
+
 TEST_F(SchedulerTest, CancelStopsWhatRunsAndStartsNothing) {
   this->scheduler.Sync(MakeReport("vm-1"), this->now);
   this->Add(MakeSubmission(kId, {MakeStep(9, 1000)}));
@@ -264,7 +284,7 @@
   Scheduler next;
   next.SetPolicy(MakePolicy());
   next.Add(MakeSubmission(kId, {MakeStep(3, 1000)}), stored.value(),
-           /*certain=*/false, this->now, this->now);
+           UncertainSince(2), this->now, this->now);
   next.Sync(MakeReport("vm-1"), this->now);
   const Orders orders = next.Plan(this->now);
   EXPECT_EQ(orders.starts.size(), 2u);
--- a/submission/types.h
+++ b/submission/types.h
@@ -10,9 +10,10 @@
 //
 //   TaskRef task{"5c0e7a21d94b36f8", 0, 1, 17};
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <string_view>
+#include <tuple>
 #include <vector>
 
 #include "base/codec.h"
@@ -102,7 +103,8 @@
   uint32_t step = 0;
   uint32_t index = 0;
 
-  auto operator<=>(const TaskRef&) const = default;
+  auto operator<=>(const TaskRef&) const =
+      default;  // NOLINT(modernize-use-nullptr)
 
   template <class Archive>
   void serialize(Archive& archive) {
