Store through the planner what the store refuses from an entry

The entry now asks the planner, and answers 504 if it does not hear in time, since the row may be stored later. Retry-After is 2 s, so that a caller's four tries outlast an outage.

--- a/daemon/fleet_entry.cc
+++ b/daemon/fleet_entry.cc
@@ -28,8 +28,8 @@
 constexpr absl::Duration kAnswerMargin = absl::Milliseconds(150);
 
 // Callers that are refused come back after this, in seconds: an outage of the
-// store lasts for seconds, a takeover for one.
-constexpr char kRetryAfterS[] = "1";
+// store lasts 4 to 9 s, and callers try four times more.
+constexpr char kRetryAfterS[] = "2";
 
 // How long accepted submissions are repeated to a new planner; by then its
 // reads of the tables have found them.
@@ -328,7 +328,18 @@
   const bool refused = reply.error == PlatformError::kRefused ||
                        reply.error == PlatformError::kNotSent;
   if (refused && !submit->maybe) {
-    this->Refuse(submit->exchange, 503, id, "store-unavailable");
+    const bool relayed =
+        this->Relay(submit->submission, false, submit->deadline,
+                    [this, submit](bool stored) {
+                      submit->maybe = true;
+                      if (stored)
+                        this->Accept(submit);
+                      else
+                        this->Refuse(submit->exchange, 504,
+                                     submit->submission.id, "outcome-unknown");
+                    });
+    if (!relayed)
+      this->Refuse(submit->exchange, 503, id, "store-unavailable");
     return;
   }
   submit->maybe = true;
@@ -345,6 +356,31 @@
   });
 }
 
+bool FleetEntry::Relay(const Submission& submission,
+                       bool cancel,
+                       absl::Time deadline,
+                       std::function<void(bool stored)> done) {
+  const absl::Duration left = deadline - BootClock().Now();
+  if (!this->port->IsConnected() || this->view.store_trouble ||
+      left <= absl::ZeroDuration())
+    return false;
+  const uint64_t number = this->next_relay++;
+  this->relays[number] = std::move(done);
+  this->port->Send(StoreRequest{number, submission, cancel});
+  this->log->Write(LogLine("store_relayed")
+                       .Add("submission", submission.id)
+                       .Add("cancel", cancel)
+                       .Add("epoch", this->port->Epoch()));
+  auto timer = std::make_shared<boost::asio::steady_timer>(
+      this->thread.Context(), absl::ToChronoMicroseconds(left));
+  timer->async_wait([this, number, timer](std::error_code error) {
+    auto waiting_relay = this->relays.extract(number);
+    if (!error && !waiting_relay.empty())
+      waiting_relay.mapped()(false);
+  });
+  return true;
+}
+
 void FleetEntry::Accept(const std::shared_ptr<Submit>& submit) {
   const Submission& submission = submit->submission;
   this->metrics.GetCounter("submissions_accepted_total").Add();
@@ -446,13 +482,21 @@
       std::clamp(left, absl::Milliseconds(1), kCallTimeout),
       [this, exchange, id, deadline](CommitReply&& reply) {
         if (!reply.error) {
-          this->log->Write(
-              LogLine("submission_cancelled").Add("submission", id));
           this->port->Send(CancelledNotice{id});
-          this->SetState(id, SubmissionState::kCancelled);
-          this->Reply(exchange, 200, "{}");
+          this->FinishCancel(exchange, id);
           return;
         }
+        Submission cancelled;
+        cancelled.id = id;
+        if (reply.error == PlatformError::kRefused &&
+            this->Relay(cancelled, true, deadline,
+                        [this, exchange, id](bool stored) {
+                          if (stored)
+                            this->FinishCancel(exchange, id);
+                          else
+                            this->Refuse(exchange, 504, id, "outcome-unknown");
+                        }))
+          return;
         if (BootClock().Now() + kRetryPause >= deadline) {
           this->Refuse(exchange, 504, id, "outcome-unknown");
           return;
@@ -467,6 +511,12 @@
       });
 }
 
+void FleetEntry::FinishCancel(HttpExchange* exchange, const std::string& id) {
+  this->log->Write(LogLine("submission_cancelled").Add("submission", id));
+  this->SetState(id, SubmissionState::kCancelled);
+  this->Reply(exchange, 200, "{}");
+}
+
 void FleetEntry::OnWaiting(HttpExchange* exchange, const Queue& queue) {
   if (BootClock().Now() - this->waiting_at > kWaitingFresh) {
     this->Refuse(exchange, 503, "", "count-too-old");
@@ -493,6 +543,10 @@
     for (const StateNotice& notice : notices->states)
       this->SetState(notice.submission,
                      static_cast<SubmissionState>(notice.state));
+  } else if (const auto* stored = std::get_if<StoreDone>(&message)) {
+    auto relay = this->relays.extract(stored->number);
+    if (!relay.empty())
+      relay.mapped()(true);
   } else if (auto* counts = std::get_if<WaitingNotice>(&message)) {
     this->waiting = std::move(counts->waiting);
     this->waiting_at = BootClock().Now();
--- a/daemon/fleet_entry.h
+++ b/daemon/fleet_entry.h
@@ -73,6 +73,14 @@
   void SendCancel(HttpExchange* exchange,
                   const std::string& id,
                   absl::Time deadline);
+  void FinishCancel(HttpExchange* exchange, const std::string& id);
+  // Has the planner store a row that the store refused from this entry. False
+  // when there is no planner that could. `done` is told whether the row is
+  // stored; if not, it may still be stored later.
+  bool Relay(const Submission& submission,
+             bool cancel,
+             absl::Time deadline,
+             std::function<void(bool stored)> done);
   void OnWaiting(HttpExchange* exchange, const Queue& queue);
   // Reads from the store what is known of a submission.
   void LookUp(const std::string& id,
@@ -107,6 +115,9 @@
   absl::flat_hash_map<std::string, SubmissionState> states;
   // Submissions accepted lately, which a new planner is told of.
   std::deque<std::pair<absl::Time, Submission>> recent;
+  // Requests to the planner that were not answered, by number.
+  uint64_t next_relay = 1;
+  std::map<uint64_t, std::function<void(bool stored)>> relays;
   std::map<std::string, uint64_t> waiting;
   absl::Time waiting_at = absl::InfinitePast();
 };
--- a/daemon/fleet_message.h
+++ b/daemon/fleet_message.h
@@ -261,6 +261,31 @@
   }
 };
 
+// Entry to planner: the store refuses the entry; the planner is to store the
+// submission, or its cancellation, in its place.
+struct StoreRequest {
+  uint64_t number = 0;
+  Submission submission;
+  // Only the id of the submission is set, which is to be cancelled.
+  bool cancel = false;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->number, this->submission, this->cancel);
+  }
+};
+
+// Planner to entry: the row of that request is stored.
+struct StoreDone {
+  uint64_t epoch = 0;
+  uint64_t number = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->epoch, this->number);
+  }
+};
+
 // Entry to planner: a cancellation is stored.
 struct CancelledNotice {
   std::string submission;
@@ -286,6 +311,8 @@
                                   NeighbourNotice,
                                   PairsNotice,
                                   AcceptedNotice,
+                                  StoreRequest,
+                                  StoreDone,
                                   CancelledNotice>;
 
 // The payload of a frame: a tag byte and the message.
--- a/daemon/fleet_planner.cc
+++ b/daemon/fleet_planner.cc
@@ -539,12 +539,35 @@
         accepted->first ? Certainty{} : UncertainSince(this->lease.Epoch());
     this->scheduler->Add(accepted->submission, std::nullopt, certainty, now,
                          absl::Now());
+  } else if (const auto* request = std::get_if<StoreRequest>(&message)) {
+    this->OnStoreRequest(node, *request);
   } else if (const auto* cancelled = std::get_if<CancelledNotice>(&message)) {
     this->scheduler->Cancel(cancelled->submission);
   }
   this->ScheduleRun();
 }
 
+void FleetPlanner::OnStoreRequest(const std::string& node,
+                                  const StoreRequest& request) {
+  const std::string& id = request.submission.id;
+  std::vector<StorePut> puts;
+  if (request.cancel)
+    puts.push_back({kCancellationTable, id, ""});
+  // A known submission has its row already, which is written only once.
+  else if (!this->scheduler->Knows(id))
+    puts.push_back({kSubmissionTable, id, Encode(request.submission)});
+  this->lease.Write(std::move(puts), [this, node, request] {
+    if (request.cancel)
+      this->scheduler->Cancel(request.submission.id);
+    else
+      this->scheduler->Add(request.submission, std::nullopt,
+                           UncertainSince(this->lease.Epoch()),
+                           BootClock().Now(), absl::Now());
+    this->nodes.Send(node, StoreDone{this->lease.Epoch(), request.number});
+    this->ScheduleRun();
+  });
+}
+
 void FleetPlanner::OnWorkerNotice(const std::string& node,
                                   WorkerNotice&& notice) {
   for (const EndedRun& end : notice.ended)
--- a/daemon/fleet_planner.h
+++ b/daemon/fleet_planner.h
@@ -87,6 +87,7 @@
   void ReadUnknown();
   void TakePutOff();
   void TakeNodeMessage(const std::string& vm, FleetMessage&& message);
+  void OnStoreRequest(const std::string& vm, const StoreRequest& request);
   void OnWorkerNotice(const std::string& vm, WorkerNotice&& notice);
   void DescribeTo(const std::string& vm);
   void ScheduleRun();
