--- a/submission/active.cc
+++ b/submission/active.cc
@@ -78,6 +78,22 @@
   }
 }
 
+// Estimated time until the last task of a step is done. A task that runs longer
+// than estimated is expected to take a quarter of the estimate more.
+int64_t TimeLeftMs(const Step& step, const StepSlots& tasks, absl::Time now) {
+  if (tasks.done == tasks.tasks.size())
+    return 0;
+  if (tasks.Idle() > 0)
+    return step.estimate_ms;
+  int64_t longest = step.estimate_ms / 4;
+  for (const TaskSlot& task : tasks.tasks) {
+    if (task.phase == TaskPhase::kPlaced)
+      longest = std::max(longest, step.estimate_ms - absl::ToInt64Milliseconds(
+                                                         now - task.since));
+  }
+  return longest;
+}
+
 }  // namespace
 
 Certainty UncertainSince(uint64_t epoch) {
@@ -209,7 +225,7 @@
     }
     const auto undone = static_cast<int64_t>(tasks.tasks.size() - tasks.done);
     whole[number] = before + step.estimate_ms;
-    left[number] = before_left + (undone > 0 ? step.estimate_ms : 0);
+    left[number] = before_left + TimeLeftMs(step, tasks, now);
     longest = std::max(longest, whole[number]);
     longest_left = std::max(longest_left, left[number]);
     facts.work_left +=
--- a/submission/scheduler_plan.cc
+++ b/submission/scheduler_plan.cc
@@ -14,7 +14,7 @@
 // How long a submission with nothing running waits for a VM where its filling
 // tasks disturb nobody. The platform's rules want work to start within 3 s
 // where there is room.
-constexpr absl::Duration kMaxWaitForQuiet = absl::Milliseconds(1500);
+constexpr absl::Duration kMaxWaitForQuiet = absl::Milliseconds(2200);
 
 // A task with less estimated time left stays on a runner that drains.
 constexpr absl::Duration kWorthMoving = absl::Seconds(1);
--- a/submission/testing/scheduler_test.cc
+++ b/submission/testing/scheduler_test.cc
@@ -234,6 +234,43 @@
   EXPECT_GT(runs[2], runs[1] + 8);
 }
 
+// Load pattern: a burst of large submissions beyond the capacity. Guards
+// against serving them in the order of their arrival, which makes all of them
+// late.
+TEST_F(SchedulerTest, SmallerSubmissionsOfABurstGoFirst) {
+  this->scheduler.Sync(MakeReport("vm-1"), this->now);
+  Submission large = MakeSubmission(kId, {MakeStep(8, 1000)});
+  Submission small = MakeSubmission("00000000000000b2", {MakeStep(4, 1000)});
+  large.accepted_ms = absl::ToUnixMillis(this->now);
+  small.accepted_ms = large.accepted_ms;
+  this->Add(large);
+  this->Add(small);
+  const Orders orders = this->Plan();
+  ASSERT_EQ(orders.starts.size(), 4u);
+  for (const StartOrder& start : orders.starts)
+    EXPECT_EQ(start.task.submission, small.id);
+}
+
+// Guards against hopeless submissions that hold up those which can still meet
+// their objective, and against losing them altogether.
+TEST_F(SchedulerTest, HopelessSubmissionsGoLastButAreNotDropped) {
+  this->scheduler.Sync(MakeReport("vm-1"), this->now);
+  Submission hopeless = MakeSubmission(kId, {MakeStep(4, 1000)});
+  hopeless.accepted_ms = absl::ToUnixMillis(this->now - absl::Seconds(60));
+  Submission punctual = MakeSubmission("00000000000000b2", {MakeStep(4, 1000)});
+  punctual.accepted_ms = absl::ToUnixMillis(this->now);
+  this->Add(hopeless);
+  this->Add(punctual);
+  const Orders first = this->Plan();
+  ASSERT_EQ(first.starts.size(), 4u);
+  uint64_t number = 0;
+  for (const StartOrder& start : first.starts) {
+    EXPECT_EQ(start.task.submission, punctual.id);
+    this->End(start, EndKind::kDone, ++number);
+  }
+  EXPECT_EQ(this->Plan().starts.size(), 4u);
+}
+
 TEST_F(SchedulerTest, CancelStopsWhatRunsAndStartsNothing) {
   this->scheduler.Sync(MakeReport("vm-1"), this->now);
   this->Add(MakeSubmission(kId, {MakeStep(9, 1000)}));
