Test the fleet programs as a whole against stand-ins; close connections at exit

StoreStandin and RunnerStandin speak the users' platform on loopback, with refusals, lost replies, leases, fences and a ledger of runs. Eight tests start real entries and agents against them: the whole path, bad requests, lost replies of the store and of the runner, a dead planner, a restarted agent, an outage of the store, a cancellation.

They found a fault at once: PlannerPort and PlannerNodes did not close their connections when they were destroyed, so that an entry with a connection could crash (double free) while it stopped.

--- a/daemon/planner_nodes.cc
+++ b/daemon/planner_nodes.cc
@@ -36,6 +36,10 @@
       log(log),
       handlers(std::move(handlers)) {}
 
+PlannerNodes::~PlannerNodes() {
+  this->End();
+}
+
 void PlannerNodes::Begin(uint64_t new_epoch) {
   this->epoch = new_epoch;
   this->active = true;
--- a/daemon/planner_nodes.h
+++ b/daemon/planner_nodes.h
@@ -43,6 +43,9 @@
                std::string planner,
                Log* log,
                PlannerNodesHandlers handlers);
+  ~PlannerNodes();
+  PlannerNodes(const PlannerNodes&) = delete;
+  PlannerNodes& operator=(const PlannerNodes&) = delete;
 
   // Starts to connect as the planner of this epoch.
   void Begin(uint64_t epoch);
--- a/daemon/planner_port.cc
+++ b/daemon/planner_port.cc
@@ -38,6 +38,10 @@
       handlers(std::move(handlers)),
       acceptor(thread->Context()) {}
 
+PlannerPort::~PlannerPort() {
+  this->Close();
+}
+
 Status PlannerPort::Listen(const std::string& host, uint16_t port) {
   boost::system::error_code error;
   const auto address = boost::asio::ip::make_address(host, error);
--- a/daemon/planner_port.h
+++ b/daemon/planner_port.h
@@ -47,6 +47,9 @@
               std::string vm,
               Log* log,
               PlannerPortHandlers handlers);
+  ~PlannerPort();
+  PlannerPort(const PlannerPort&) = delete;
+  PlannerPort& operator=(const PlannerPort&) = delete;
 
   // Accepts connections. Fails with the system's error.
   Status Listen(const std::string& host, uint16_t port);
--- /dev/null
+++ b/daemon/testing/fleet_test.cc
@@ -0,0 +1,327 @@
+// Entries and agents of the users' platform as a whole, against stand-ins of
+// its store and runners on loopback. Waits end when the awaited state is there;
+// their limit only keeps a broken system from waiting for ever.
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/time/clock.h"
+#include "base/http_client.h"
+#include "base/strings.h"
+#include "daemon/fleet_agent.h"
+#include "daemon/fleet_entry.h"
+#include "testing/support/runner_standin.h"
+#include "testing/support/store_standin.h"
+
+namespace cuminjunction {
+namespace {
+
+constexpr absl::Duration kLimit = absl::Seconds(60);
+constexpr char kPolicy[] =
+    R"({"version":3,"routes":[{"name":"plans","host":"shop.example",)"
+    R"("prefix":"/plans/","service":"line","priority":0,"maxAttempts":2,)"
+    R"("stretch":2,"targetDurationMs":1000}],)"
+    R"("services":[{"name":"line","enforcesCapacity":true}],)"
+    R"("limits":{"maxBodyBytes":65536}})";
+constexpr char kTwoSteps[] =
+    R"({"spec":"text","steps":[{"count":6,"cpu":500,"memMb":10,)"
+    R"("estRuntimeMs":50},{"count":3,"cpu":500,"memMb":10,)"
+    R"("estRuntimeMs":50,"after":[0]}]})";
+
+uint16_t FreePort() {
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address = {};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  socklen_t size = sizeof(address);
+  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
+  close(fd);
+  return ntohs(address.sin_port);
+}
+
+class FleetTest : public testing::Test {
+ protected:
+  FleetTest() : log("") {
+    this->store = std::move(StoreStandin::Start().value());
+    this->store->Put("op", "", "config", kPolicy);
+  }
+
+  Settings BaseSettings(const std::string& name) {
+    Settings settings;
+    settings.name = name;
+    settings.region = "region";
+    settings.failure_domain = "domain";
+    settings.listen.peer_port = FreePort();
+    settings.fleet.store = this->store->Address();
+    return settings;
+  }
+
+  Settings EntrySettings(const std::string& name) {
+    Settings settings = this->BaseSettings(name);
+    settings.role = Role::kEntry;
+    settings.fleet.submissions = {"127.0.0.1", FreePort()};
+    settings.fleet.ready = {"127.0.0.1", FreePort()};
+    return settings;
+  }
+
+  Settings AgentSettings(const std::string& name, const RunnerStandin& runner) {
+    Settings settings = this->BaseSettings(name);
+    settings.role = Role::kAgent;
+    settings.fleet.heartbeats = {"127.0.0.1", FreePort()};
+    settings.fleet.runner = runner.Address();
+    return settings;
+  }
+
+  HttpResponse Call(const Endpoint& to,
+                    const std::string& method,
+                    const std::string& path,
+                    const std::string& body = "") {
+    HttpRequest request;
+    request.method = method;
+    request.path = path;
+    request.body = body;
+    request.headers["Host"] = "shop.example";
+    const auto answer = this->client.Send(StrCat("http://", ToString(to)),
+                                          request, absl::Now() + kLimit);
+    return answer ? answer.value() : HttpResponse{0, "", "", {}};
+  }
+
+  // A heartbeat of the runner to its agent.
+  int Beat(const Settings& agent, const RunnerStandin& runner) {
+    return this
+        ->Call(agent.fleet.heartbeats, "POST",
+               StrCat("/v1/instances/i-", agent.name, "/heartbeat"),
+               StrCat(R"({"service":"line","state":"ready","zone":"domain",)",
+                      R"("capacity":{"cpu":2000,"memMb":1000,"gpu":0},)",
+                      R"("labels":["a","r1"],"sequence":)", ++this->sequence,
+                      R"(,"born":)", runner.BornMs(), "}"))
+        .status;
+  }
+
+  bool WaitUntil(const std::function<bool()>& condition) {
+    const absl::Time limit = absl::Now() + kLimit;
+    while (!condition()) {
+      if (absl::Now() > limit)
+        return false;
+      absl::SleepFor(absl::Milliseconds(20));
+    }
+    return true;
+  }
+
+  bool WaitForState(const Settings& entry,
+                    const std::string& id,
+                    const std::string& state) {
+    return this->WaitUntil([&] {
+      return this->Call(entry.fleet.submissions, "GET", StrCat("/plans/", id))
+                 .body == StrCat(R"({"state":")", state, R"("})");
+    });
+  }
+
+  bool WaitUntilReady(const Settings& entry) {
+    return this->WaitUntil([&] {
+      return this->Call(entry.fleet.ready, "GET", "/v1/ready").status == 200;
+    });
+  }
+
+  bool Submit(const Settings& entry,
+              const std::string& id,
+              const std::string& body) {
+    return this->WaitUntil([&] {
+      return this->Call(entry.fleet.submissions, "POST", StrCat("/plans/", id),
+                        body)
+                 .status == 200;
+    });
+  }
+
+  Log log;
+  HttpClient client;
+  RunLedger ledger;
+  int64_t sequence = 0;
+  std::unique_ptr<StoreStandin> store;
+};
+
+constexpr char kId[] = "5c0e7a21d94b36f8";
+
+TEST_F(FleetTest, ASubmissionRunsToItsEnd) {
+  auto runner = std::move(
+      RunnerStandin::Start(&this->ledger, absl::Milliseconds(50)).value());
+  const Settings entry_settings = this->EntrySettings("entry-1");
+  const Settings agent_settings = this->AgentSettings("agent-1", *runner);
+  auto entry = FleetEntry::Start(entry_settings, &this->log);
+  auto agent = FleetAgent::Start(agent_settings, &this->log);
+  ASSERT_TRUE(entry);
+  ASSERT_TRUE(agent);
+  ASSERT_EQ(this->Beat(agent_settings, *runner), 200);
+  ASSERT_TRUE(this->WaitUntilReady(entry_settings));
+  ASSERT_TRUE(this->Submit(entry_settings, kId, kTwoSteps));
+  EXPECT_TRUE(this->WaitForState(entry_settings, kId, "completed"));
+  EXPECT_EQ(this->ledger.Starts(), 9);
+  EXPECT_EQ(this->ledger.Violations(), 0);
+  // A repetition after the answer stays one submission.
+  EXPECT_TRUE(this->Submit(entry_settings, kId, kTwoSteps));
+  EXPECT_EQ(this->store->CountRows("submission"), 1u);
+}
+
+TEST_F(FleetTest, BadRequestsGetTheirOwnAnswers) {
+  const Settings settings = this->EntrySettings("entry-1");
+  auto entry = FleetEntry::Start(settings, &this->log);
+  ASSERT_TRUE(entry);
+  ASSERT_TRUE(this->WaitUntilReady(settings));
+  const Endpoint& front = settings.fleet.submissions;
+  EXPECT_EQ(this->Call(front, "POST", "/other/1", "{}").status, 404);
+  EXPECT_EQ(this->Call(front, "POST", "/plans/short", kTwoSteps).status, 400);
+  EXPECT_EQ(this->Call(front, "POST", StrCat("/plans/", kId), "{").status, 400);
+  EXPECT_EQ(this->Call(front, "GET", StrCat("/plans/", kId)).status, 410);
+  EXPECT_EQ(this->Call(front, "DELETE", StrCat("/plans/", kId)).status, 410);
+  EXPECT_EQ(this->Call(front, "PUT", StrCat("/plans/", kId)).status, 405);
+  EXPECT_EQ(this->store->CountRows("submission"), 0u);
+}
+
+// Guards against a lost reply that is taken for a refusal, or for a conflict
+// with another planner.
+TEST_F(FleetTest, LostRepliesOfTheStoreChangeNothing) {
+  auto runner = std::move(
+      RunnerStandin::Start(&this->ledger, absl::Milliseconds(50)).value());
+  const Settings entry_settings = this->EntrySettings("entry-1");
+  const Settings agent_settings = this->AgentSettings("agent-1", *runner);
+  auto entry = FleetEntry::Start(entry_settings, &this->log);
+  auto agent = FleetAgent::Start(agent_settings, &this->log);
+  ASSERT_EQ(this->Beat(agent_settings, *runner), 200);
+  ASSERT_TRUE(this->WaitUntilReady(entry_settings));
+  this->store->LoseReplies(3);
+  ASSERT_TRUE(this->Submit(entry_settings, kId, kTwoSteps));
+  this->store->LoseReplies(3);
+  EXPECT_TRUE(this->WaitForState(entry_settings, kId, "completed"));
+  EXPECT_EQ(this->ledger.Starts(), 9);
+  EXPECT_EQ(this->ledger.Violations(), 0);
+}
+
+// Guards against a second run when the answer to a start is lost.
+TEST_F(FleetTest, LostRepliesOfTheRunnerChangeNothing) {
+  auto runner = std::move(
+      RunnerStandin::Start(&this->ledger, absl::Milliseconds(300)).value());
+  const Settings entry_settings = this->EntrySettings("entry-1");
+  const Settings agent_settings = this->AgentSettings("agent-1", *runner);
+  auto entry = FleetEntry::Start(entry_settings, &this->log);
+  auto agent = FleetAgent::Start(agent_settings, &this->log);
+  ASSERT_EQ(this->Beat(agent_settings, *runner), 200);
+  ASSERT_TRUE(this->WaitUntilReady(entry_settings));
+  runner->LoseStartReplies(4);
+  ASSERT_TRUE(this->Submit(entry_settings, kId, kTwoSteps));
+  EXPECT_TRUE(this->WaitForState(entry_settings, kId, "completed"));
+  EXPECT_EQ(this->ledger.Starts(), 9);
+  EXPECT_EQ(this->ledger.Violations(), 0);
+}
+
+// The entry that plans dies while tasks run: the other one takes over, adopts
+// what runs, and starts nothing twice.
+TEST_F(FleetTest, AnotherEntryTakesOverFromADeadPlanner) {
+  auto runner = std::move(
+      RunnerStandin::Start(&this->ledger, absl::Milliseconds(700)).value());
+  const Settings first_settings = this->EntrySettings("entry-1");
+  const Settings second_settings = this->EntrySettings("entry-2");
+  const Settings agent_settings = this->AgentSettings("agent-1", *runner);
+  auto first = FleetEntry::Start(first_settings, &this->log);
+  auto agent = FleetAgent::Start(agent_settings, &this->log);
+  ASSERT_EQ(this->Beat(agent_settings, *runner), 200);
+  ASSERT_TRUE(this->WaitUntilReady(first_settings));
+  ASSERT_TRUE(this->Submit(first_settings, kId, kTwoSteps));
+  ASSERT_TRUE(this->WaitUntil([&] { return this->ledger.Starts() >= 4; }));
+  auto second = FleetEntry::Start(second_settings, &this->log);
+  ASSERT_TRUE(this->WaitUntilReady(second_settings));
+  first.value().reset();
+  EXPECT_TRUE(this->WaitForState(second_settings, kId, "completed"));
+  EXPECT_EQ(this->ledger.Starts(), 9);
+  EXPECT_EQ(this->ledger.Violations(), 0);
+}
+
+// Guards against losing, or starting again, what runs while an agent is away.
+TEST_F(FleetTest, ARestartedAgentFindsItsTasksRunning) {
+  auto runner = std::move(
+      RunnerStandin::Start(&this->ledger, absl::Milliseconds(1500)).value());
+  const Settings entry_settings = this->EntrySettings("entry-1");
+  const Settings agent_settings = this->AgentSettings("agent-1", *runner);
+  auto entry = FleetEntry::Start(entry_settings, &this->log);
+  auto agent = FleetAgent::Start(agent_settings, &this->log);
+  ASSERT_EQ(this->Beat(agent_settings, *runner), 200);
+  ASSERT_TRUE(this->WaitUntilReady(entry_settings));
+  ASSERT_TRUE(this->Submit(
+      entry_settings, kId,
+      R"({"spec":"t","steps":[{"count":2,"cpu":500,"estRuntimeMs":1500}]})"));
+  ASSERT_TRUE(this->WaitUntil([&] { return this->ledger.Starts() == 2; }));
+  agent.value().reset();
+  agent = FleetAgent::Start(agent_settings, &this->log);
+  ASSERT_TRUE(agent);
+  this->Beat(agent_settings, *runner);
+  EXPECT_TRUE(this->WaitForState(entry_settings, kId, "completed"));
+  EXPECT_EQ(this->ledger.Starts(), 2);
+  EXPECT_EQ(this->ledger.Violations(), 0);
+}
+
+// While the store refuses everything: new submissions are refused with a time
+// to come back, accepted ones run on and are shown from memory, and nothing is
+// shown as completed that is not stored.
+TEST_F(FleetTest, AnOutageOfTheStoreStopsOnlyNewSubmissions) {
+  auto runner = std::move(
+      RunnerStandin::Start(&this->ledger, absl::Milliseconds(50)).value());
+  const Settings entry_settings = this->EntrySettings("entry-1");
+  const Settings agent_settings = this->AgentSettings("agent-1", *runner);
+  auto entry = FleetEntry::Start(entry_settings, &this->log);
+  auto agent = FleetAgent::Start(agent_settings, &this->log);
+  ASSERT_EQ(this->Beat(agent_settings, *runner), 200);
+  ASSERT_TRUE(this->WaitUntilReady(entry_settings));
+  // A first submission shows that the agent is connected.
+  ASSERT_TRUE(this->Submit(entry_settings, kId, kTwoSteps));
+  ASSERT_TRUE(this->WaitForState(entry_settings, kId, "completed"));
+  const std::string second = "00000000000000b2";
+  ASSERT_TRUE(this->Submit(entry_settings, second, kTwoSteps));
+  this->store->SetRefusing(true);
+  EXPECT_TRUE(this->WaitUntil([&] { return this->ledger.Starts() == 18; }));
+  const Endpoint& front = entry_settings.fleet.submissions;
+  // The planner may still hope to store it; in the end it is refused.
+  EXPECT_TRUE(this->WaitUntil([&] {
+    const HttpResponse refused =
+        this->Call(front, "POST", "/plans/00000000000000c3", kTwoSteps);
+    return refused.status == 503 && refused.headers.contains("retry-after");
+  }));
+  EXPECT_EQ(this->Call(front, "GET", StrCat("/plans/", second)).body,
+            R"({"state":"running"})");
+  this->store->SetRefusing(false);
+  EXPECT_TRUE(this->WaitForState(entry_settings, second, "completed"));
+  EXPECT_EQ(this->ledger.Violations(), 0);
+}
+
+TEST_F(FleetTest, ACancelledSubmissionStopsAndStaysCancelled) {
+  auto runner =
+      std::move(RunnerStandin::Start(&this->ledger, absl::Seconds(50)).value());
+  const Settings entry_settings = this->EntrySettings("entry-1");
+  const Settings agent_settings = this->AgentSettings("agent-1", *runner);
+  auto entry = FleetEntry::Start(entry_settings, &this->log);
+  auto agent = FleetAgent::Start(agent_settings, &this->log);
+  ASSERT_EQ(this->Beat(agent_settings, *runner), 200);
+  ASSERT_TRUE(this->WaitUntilReady(entry_settings));
+  ASSERT_TRUE(this->Submit(entry_settings, kId, kTwoSteps));
+  ASSERT_TRUE(this->WaitUntil([&] { return this->ledger.Starts() == 4; }));
+  EXPECT_EQ(this->Call(entry_settings.fleet.submissions, "DELETE",
+                       StrCat("/plans/", kId))
+                .status,
+            200);
+  EXPECT_TRUE(this->WaitForState(entry_settings, kId, "cancelled"));
+  // Its room is free again.
+  const std::string second = "00000000000000b2";
+  ASSERT_TRUE(this->Submit(entry_settings, second, kTwoSteps));
+  EXPECT_TRUE(this->WaitUntil([&] { return this->ledger.Starts() == 8; }));
+  EXPECT_EQ(this->ledger.Violations(), 0);
+}
+
+}  // namespace
+}  // namespace cuminjunction
--- /dev/null
+++ b/testing/support/runner_standin.h
@@ -0,0 +1,100 @@
+#ifndef TESTING_SUPPORT_RUNNER_STANDIN_H_
+#define TESTING_SUPPORT_RUNNER_STANDIN_H_
+
+// A runner of the users' platform over HTTP, for tests.
+//
+//   RunLedger ledger;
+//   auto runner = RunnerStandin::Start(&ledger,
+//   absl::Milliseconds(50)).value();
+//   ...
+//   EXPECT_EQ(ledger.Violations(), 0);
+//
+// A task runs for the given time and ends as done. The ledger is shared by all
+// runners of a test and sees two runs of one task at a time, and a start after
+// a done end that was confirmed.
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
+#include "base/endpoint.h"
+#include "base/http_server.h"
+
+namespace cuminjunction {
+
+// What all runners of a test have run. Callable from any thread.
+class RunLedger {
+ public:
+  void Begin(const std::string& task);
+  void End(const std::string& task);
+  void ConfirmDone(const std::string& task);
+
+  int Violations() const;
+  // Starts of all tasks.
+  int Starts() const;
+
+ private:
+  mutable absl::Mutex mutex;
+  std::map<std::string, int> running;
+  std::set<std::string> confirmed;
+  int violations = 0;
+  int starts = 0;
+};
+
+class RunnerStandin {
+ public:
+  // Starts to serve on loopback. Fails with HttpError.
+  static Result<std::unique_ptr<RunnerStandin>> Start(RunLedger* ledger,
+                                                      absl::Duration run_time);
+
+  Endpoint Address() const { return {"127.0.0.1", this->server->Port()}; }
+  int64_t BornMs() const { return this->born_ms; }
+
+  // Loses the answers of the next starts, which are carried out.
+  void LoseStartReplies(int count);
+
+ private:
+  struct Run {
+    int64_t run = 0;
+    absl::Time end;
+  };
+  struct End {
+    int64_t number = 0;
+    std::string task;
+    int64_t run = 0;
+    std::string how;
+  };
+
+  HttpResponse Handle(const HttpRequest& request);
+  HttpResponse Begin(const std::string& task, int64_t run);
+  HttpResponse Stop(const std::string& task, int64_t run);
+  HttpResponse Hold(int64_t last_seen, int64_t wait_ms);
+  // Ends what is due, and everything once the lease has passed.
+  void Settle();
+  void Finish(const std::string& task, const std::string& how);
+  int64_t ClockMs() const;
+  HttpResponse Refuse(const std::string& reason) const;
+
+  RunLedger* ledger = nullptr;
+  absl::Duration run_time;
+  int64_t born_ms = 0;
+  mutable absl::Mutex mutex;
+  int64_t fence = 0;
+  int64_t lease_until_ms = 0;
+  int lose = 0;
+  int64_t next_end = 1;
+  std::map<std::string, Run> running;
+  std::map<std::string, int64_t> highest;
+  std::vector<End> ended;
+  std::unique_ptr<HttpServer> server;
+};
+
+}  // namespace cuminjunction
+
+#endif  // TESTING_SUPPORT_RUNNER_STANDIN_H_
--- /dev/null
+++ b/testing/support/store_standin.cc
@@ -0,0 +1,180 @@
+#include "testing/support/store_standin.h"
+
+#include <cstdlib>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "absl/strings/escaping.h"
+#include "absl/time/time.h"
+
+namespace cuminjunction {
+
+namespace {
+
+using nlohmann::json;
+
+std::string Query(const HttpRequest& request, const char* key) {
+  const auto found = request.query.find(key);
+  return found == request.query.end() ? "" : found->second;
+}
+
+HttpResponse Answer(int status, const json& body) {
+  HttpResponse response;
+  response.status = status;
+  response.body = body.dump();
+  return response;
+}
+
+}  // namespace
+
+Result<std::unique_ptr<StoreStandin>> StoreStandin::Start() {
+  auto store = std::make_unique<StoreStandin>();
+  HttpServerOptions options;
+  // Feeds wait, so each connection has a thread.
+  options.threads = 0;
+  StoreStandin* self = store.get();
+  BOOST_OUTCOME_TRY(
+      server, HttpServer::Start(options, [self](const HttpRequest& request) {
+        return self->Handle(request);
+      }));
+  store->server = std::move(server);
+  return store;
+}
+
+StoreStandin::~StoreStandin() {
+  this->SetRefusing(true);
+}
+
+void StoreStandin::Put(const std::string& table,
+                       const std::string& part,
+                       const std::string& key,
+                       const std::string& value) {
+  absl::MutexLock lock(&this->mutex);
+  this->rows[{table, part, key}] = {value, ++this->version};
+}
+
+size_t StoreStandin::CountRows(const std::string& table) const {
+  absl::MutexLock lock(&this->mutex);
+  size_t count = 0;
+  for (const auto& [name, row] : this->rows)
+    count += std::get<0>(name) == table ? 1 : 0;
+  return count;
+}
+
+void StoreStandin::SetRefusing(bool value) {
+  absl::MutexLock lock(&this->mutex);
+  this->refusing = value;
+}
+
+void StoreStandin::LoseReplies(int count) {
+  absl::MutexLock lock(&this->mutex);
+  this->lose = count;
+}
+
+HttpResponse StoreStandin::Handle(const HttpRequest& request) {
+  {
+    absl::MutexLock lock(&this->mutex);
+    if (this->refusing)
+      return Answer(503, json::object());
+  }
+  if (request.path == "/v1/rows-tx")
+    return this->Transact(request);
+  if (request.path == "/v1/rows-get")
+    return this->Read(request);
+  if (request.path == "/v1/rows-feed")
+    return this->Feed(request);
+  return Answer(404, json::object());
+}
+
+json StoreStandin::RowJson(const Name& name, const Row& row) const {
+  return {{"table", std::get<0>(name)},
+          {"part", std::get<1>(name)},
+          {"key", std::get<2>(name)},
+          {"value", absl::Base64Escape(row.value)},
+          {"schemaVersion", row.version}};
+}
+
+HttpResponse StoreStandin::Transact(const HttpRequest& request) {
+  const json body = json::parse(request.body, nullptr, false);
+  if (!body.is_object())
+    return Answer(400, json::object());
+  absl::MutexLock lock(&this->mutex);
+  json current = json::array();
+  bool conflict = false;
+  for (const json& expect : body["expect"]) {
+    const Name name = {expect["table"], expect["part"], expect["key"]};
+    const auto found = this->rows.find(name);
+    const int64_t held = found == this->rows.end() ? 0 : found->second.version;
+    conflict = conflict || held != expect["schemaVersion"].get<int64_t>();
+    if (found != this->rows.end())
+      current.push_back(this->RowJson(name, found->second));
+  }
+  if (conflict)
+    return Answer(412, {{"rows", current}, {"schemaVersion", this->version}});
+  ++this->version;
+  for (const json& put : body["setKeys"]) {
+    std::string value;
+    absl::Base64Unescape(put["value"].get<std::string>(), &value);
+    this->rows[{put["table"], put["part"], put["key"]}] = {value,
+                                                           this->version};
+  }
+  HttpResponse response = Answer(200, {{"schemaVersion", this->version}});
+  if (this->lose > 0) {
+    --this->lose;
+    response.status = 0;
+  }
+  return response;
+}
+
+HttpResponse StoreStandin::Read(const HttpRequest& request) {
+  const std::string limit = Query(request, "limit");
+  const size_t most =
+      limit.empty() ? 500 : std::strtoul(limit.c_str(), nullptr, 10);
+  absl::MutexLock lock(&this->mutex);
+  json list = json::array();
+  bool more = false;
+  for (const auto& [name, row] : this->rows) {
+    if (std::get<0>(name) != Query(request, "table") ||
+        std::get<1>(name) != Query(request, "part") ||
+        std::get<2>(name) < Query(request, "from"))
+      continue;
+    if (list.size() == most) {
+      more = true;
+      break;
+    }
+    list.push_back(this->RowJson(name, row));
+  }
+  return Answer(
+      200,
+      {{"rows", list}, {"hasMore", more}, {"schemaVersion", this->version}});
+}
+
+bool StoreStandin::HasNewer(const std::string& table, int64_t after) const {
+  for (const auto& [name, row] : this->rows) {
+    if (std::get<0>(name) == table && row.version > after)
+      return true;
+  }
+  return false;
+}
+
+HttpResponse StoreStandin::Feed(const HttpRequest& request) {
+  const std::string table = Query(request, "table");
+  const int64_t after =
+      std::strtoll(Query(request, "after").c_str(), nullptr, 10);
+  const int64_t wait_ms =
+      std::strtoll(Query(request, "waitMs").c_str(), nullptr, 10);
+  absl::MutexLock lock(&this->mutex);
+  const auto ready = [&] {
+    return this->refusing || this->HasNewer(table, after);
+  };
+  this->mutex.AwaitWithTimeout(absl::Condition(&ready),
+                               absl::Milliseconds(wait_ms));
+  json list = json::array();
+  for (const auto& [name, row] : this->rows) {
+    if (std::get<0>(name) == table && row.version > after)
+      list.push_back(this->RowJson(name, row));
+  }
+  return Answer(200, {{"rows", list}, {"schemaVersion", this->version}});
+}
+
+}  // namespace cuminjunction
--- /dev/null
+++ b/testing/support/store_standin.h
@@ -0,0 +1,80 @@
+#ifndef TESTING_SUPPORT_STORE_STANDIN_H_
+#define TESTING_SUPPORT_STORE_STANDIN_H_
+
+// The users' platform store of rows over HTTP, for tests.
+//
+//   auto store = StoreStandin::Start().value();
+//   store->Put("op", "", "config", text);
+//   store->SetRefusing(true);        // 503 to every call
+//   store->LoseReplies(2);           // carried out, but not answered
+//
+// It serves the calls that platform/store.h makes: transactions with
+// expectations, reads of a range, and the feed of a table.
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <tuple>
+
+#include "absl/synchronization/mutex.h"
+#include "base/endpoint.h"
+#include "base/http_server.h"
+
+namespace cuminjunction {
+
+class StoreStandin {
+ public:
+  // Starts to serve on loopback. Fails with HttpError.
+  static Result<std::unique_ptr<StoreStandin>> Start();
+  StoreStandin() = default;
+  // Answers the feeds that wait.
+  ~StoreStandin();
+  StoreStandin(const StoreStandin&) = delete;
+  StoreStandin& operator=(const StoreStandin&) = delete;
+
+  Endpoint Address() const { return {"127.0.0.1", this->server->Port()}; }
+
+  // Writes a row as another writer would.
+  void Put(const std::string& table,
+           const std::string& part,
+           const std::string& key,
+           const std::string& value);
+
+  // Number of rows in a table.
+  size_t CountRows(const std::string& table) const;
+
+  // Answers 503 to every call while set; nothing is done then.
+  void SetRefusing(bool refusing);
+
+  // Carries out the next transactions without an answer.
+  void LoseReplies(int count);
+
+ private:
+  // Table, part and key.
+  using Name = std::tuple<std::string, std::string, std::string>;
+  struct Row {
+    std::string value;
+    int64_t version = 0;
+  };
+
+  HttpResponse Handle(const HttpRequest& request);
+  HttpResponse Transact(const HttpRequest& request);
+  HttpResponse Read(const HttpRequest& request);
+  HttpResponse Feed(const HttpRequest& request);
+  nlohmann::json RowJson(const Name& name, const Row& row) const;
+  bool HasNewer(const std::string& table, int64_t version) const;
+
+  mutable absl::Mutex mutex;
+  std::map<Name, Row> rows;
+  int64_t version = 0;
+  bool refusing = false;
+  int lose = 0;
+  // Last, so that it stops first.
+  std::unique_ptr<HttpServer> server;
+};
+
+}  // namespace cuminjunction
+
+#endif  // TESTING_SUPPORT_STORE_STANDIN_H_
