Never take back an old run, and know which starts are on their way

The highest number is now kept apart from the placed run, and a run below it is stopped. By reading: a report that crosses an order on the wire made the planner take the ordered run for lost. Orders are numbered on each connection, and a report tells the last one that had arrived.

Entries refuse at once while the store is lost, with 503 only for what was never sent; a submission of unknown outcome keeps the answer 504. In the test of an outage each try is now a submission of its own, and a refused one is checked to be unknown after the outage.

--- a/daemon/fleet_agent.cc
+++ b/daemon/fleet_agent.cc
@@ -84,7 +84,11 @@
   this->port = std::make_unique<PlannerPort>(
       &this->thread, this->settings.name, this->log,
       PlannerPortHandlers{
-          .on_planner = [this] { this->Report(); },
+          .on_planner =
+              [this] {
+                this->orders_seen = 0;
+                this->Report();
+              },
           .on_lost = [] {},
           .is_store_lost = nullptr,
           .on_ping = [this](const PlannerPing& ping) { this->OnPing(ping); },
@@ -179,6 +183,7 @@
 
 void FleetAgent::OnMessage(FleetMessage&& message) {
   if (const auto* starts = std::get_if<StartRuns>(&message)) {
+    this->orders_seen = starts->number;
     for (const RunOrder& order : starts->runs) {
       if (order.text >= starts->texts.size()) {
         this->log->Write(LogLine("order_damaged", LogLevel::kError)
@@ -205,6 +210,7 @@
   if (!this->guard->IsKnown())
     return;
   WorkerNotice notice;
+  notice.orders_seen = this->orders_seen;
   notice.info = this->info;
   // A runner whose size is unknown takes no work yet.
   notice.alive = this->guard->IsAlive() && !this->info.runner.empty();
--- a/daemon/fleet_agent.h
+++ b/daemon/fleet_agent.h
@@ -66,6 +66,8 @@
   // The last heartbeat of the present life.
   RunnerInfo info;
   int64_t sequence = 0;
+  // The last StartRuns on the planner's connection.
+  uint64_t orders_seen = 0;
 };
 
 }  // namespace cuminjunction
--- a/daemon/fleet_entry.cc
+++ b/daemon/fleet_entry.cc
@@ -295,13 +295,17 @@
   submit->submission = std::move(submission.value());
   submit->submission.id = id;
   submit->submission.queue = queue.name;
+  submit->maybe = this->doubtful.contains(id);
   submit->submission.accepted_ms = absl::ToUnixMillis(absl::Now());
   submit->deadline =
       BootClock().Now() +
       absl::Milliseconds(
           CallerPatienceMs(exchange->headers).value_or(kDefaultPatienceMs)) -
       kAnswerMargin;
-  this->SendSubmit(submit);
+  if (this->follower->IsStoreLost())
+    this->OnStoreUnavailable(submit);
+  else
+    this->SendSubmit(submit);
 }
 
 void FleetEntry::SendSubmit(const std::shared_ptr<Submit>& submit) {
@@ -327,25 +331,14 @@
   }
   const bool refused = reply.error == PlatformError::kRefused ||
                        reply.error == PlatformError::kNotSent;
-  if (refused && !submit->maybe) {
-    const bool relayed =
-        this->Relay(submit->submission, false, submit->deadline,
-                    [this, submit](bool stored) {
-                      submit->maybe = true;
-                      if (stored)
-                        this->Accept(submit);
-                      else
-                        this->Refuse(submit->exchange, 504,
-                                     submit->submission.id, "outcome-unknown");
-                    });
-    if (!relayed)
-      this->Refuse(submit->exchange, 503, id, "store-unavailable");
-    return;
+  if (!refused) {
+    submit->maybe = true;
+    this->doubtful.insert(id);
   }
-  submit->maybe = true;
-  if (BootClock().Now() + kRetryPause >= submit->deadline) {
-    // Neither stored nor not stored for certain.
-    this->Refuse(submit->exchange, 504, id, "outcome-unknown");
+  // A lost reply is followed up; an outage is not waited for.
+  if (refused || this->follower->IsStoreLost() ||
+      BootClock().Now() + kRetryPause >= submit->deadline) {
+    this->OnStoreUnavailable(submit);
     return;
   }
   auto pause = std::make_shared<boost::asio::steady_timer>(
@@ -356,6 +349,26 @@
   });
 }
 
+void FleetEntry::OnStoreUnavailable(const std::shared_ptr<Submit>& submit) {
+  const std::string& id = submit->submission.id;
+  const auto done = [this, submit](bool stored) {
+    if (stored) {
+      this->Accept(submit);
+      return;
+    }
+    this->doubtful.insert(submit->submission.id);
+    this->Refuse(submit->exchange, 504, submit->submission.id,
+                 "outcome-unknown");
+  };
+  if (this->Relay(submit->submission, false, submit->deadline, done))
+    return;
+  // Only what was never sent certainly does not run.
+  if (submit->maybe)
+    this->Refuse(submit->exchange, 504, id, "outcome-unknown");
+  else
+    this->Refuse(submit->exchange, 503, id, "store-unavailable");
+}
+
 bool FleetEntry::Relay(const Submission& submission,
                        bool cancel,
                        absl::Time deadline,
@@ -391,6 +404,7 @@
                        .Add("epoch", this->port->Epoch())
                        .Add("planner_connected", this->port->IsConnected()));
   this->states.emplace(submission.id, SubmissionState::kQueued);
+  this->doubtful.erase(submission.id);
   const bool connected = this->port->IsConnected();
   // A submission that was stored by a lost try may be known to another planner.
   if (connected)
--- a/daemon/fleet_entry.h
+++ b/daemon/fleet_entry.h
@@ -23,6 +23,7 @@
 #include <utility>
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
 #include "absl/time/time.h"
 #include "base/event_thread.h"
 #include "base/http_front.h"
@@ -67,6 +68,7 @@
   void SendSubmit(const std::shared_ptr<Submit>& submit);
   void OnSubmitReply(const std::shared_ptr<Submit>& submit,
                      CommitReply&& reply);
+  void OnStoreUnavailable(const std::shared_ptr<Submit>& submit);
   void Accept(const std::shared_ptr<Submit>& submit);
   void OnState(HttpExchange* exchange, const std::string& id);
   void OnCancel(HttpExchange* exchange, const std::string& id);
@@ -115,6 +117,9 @@
   absl::flat_hash_map<std::string, SubmissionState> states;
   // Submissions accepted lately, which a new planner is told of.
   std::deque<std::pair<absl::Time, Submission>> recent;
+  // Submissions that this entry may or may not have stored: they must not be
+  // called refused later.
+  absl::flat_hash_set<std::string> doubtful;
   // Requests to the planner that were not answered, by number.
   uint64_t next_relay = 1;
   std::map<uint64_t, std::function<void(bool stored)>> relays;
--- a/daemon/fleet_message.h
+++ b/daemon/fleet_message.h
@@ -92,12 +92,14 @@
 // Planner to agent.
 struct StartRuns {
   uint64_t epoch = 0;
+  // Counts these messages on one connection, from 1.
+  uint64_t number = 0;
   std::vector<std::string> texts;
   std::vector<RunOrder> runs;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->epoch, this->texts, this->runs);
+    archive(this->epoch, this->number, this->texts, this->runs);
   }
 };
 
@@ -180,6 +182,9 @@
 // Agent to planner: everything that its runner runs, after a connection is
 // made and after the runner's life has changed.
 struct WorkerNotice {
+  // The last StartRuns that had arrived on the connection. Runs of later ones
+  // are on their way and not in the lists.
+  uint64_t orders_seen = 0;
   RunnerInfo info;
   bool alive = false;
   std::vector<ActiveRun> running;
@@ -187,7 +192,8 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->info, this->alive, this->running, this->ended);
+    archive(this->orders_seen, this->info, this->alive, this->running,
+            this->ended);
   }
 };
 
--- a/daemon/fleet_planner.cc
+++ b/daemon/fleet_planner.cc
@@ -54,6 +54,10 @@
 // to 4,000 bytes.
 constexpr size_t kMaxRunsInMessage = 25;
 
+// Starts to one VM that are remembered as possibly on their way. A runner has
+// room for fewer new tasks within the time of a message.
+constexpr size_t kMaxSentRuns = 200;
+
 // Notices in one message.
 constexpr size_t kMaxStatesInMessage = 2000;
 
@@ -99,6 +103,7 @@
                    if (!agent || !this->scheduler)
                      return;
                    this->put_off.erase(node);
+                   this->sent.erase(node);
                    this->scheduler->Disconnected(node);
                  },
              .on_granted =
@@ -217,6 +222,7 @@
   this->scheduler = nullptr;
   this->to_confirm.clear();
   this->put_off.clear();
+  this->sent.clear();
   this->reading_unknown = false;
   this->feeds_running.clear();
   this->lost_since = absl::InfinitePast();
@@ -572,8 +578,12 @@
                                   WorkerNotice&& notice) {
   for (const EndedRun& end : notice.ended)
     this->to_confirm[node] = {notice.info.born_ms, end.number};
-  const WorkerReport report{node, notice.info, notice.alive, notice.running,
-                            notice.ended};
+  WorkerReport report{node, notice.info, notice.alive, notice.running,
+                      notice.ended};
+  for (const SentRun& run : this->sent[node].runs) {
+    if (run.number > notice.orders_seen)
+      report.running.push_back({run.task, run.run, "", 0});
+  }
   this->log->Write(LogLine("worker_reported")
                        .Add("vm", node)
                        .Add("runner", notice.info.runner)
@@ -630,6 +640,12 @@
   std::map<std::string, StopRuns> stops;
   const auto send = [this](const std::string& node, StartRuns* message) {
     message->epoch = this->lease.Epoch();
+    SentRuns& sent_runs = this->sent[node];
+    message->number = ++sent_runs.last_number;
+    for (const RunOrder& order : message->runs)
+      sent_runs.runs.push_back({message->number, order.task, order.run});
+    while (sent_runs.runs.size() > kMaxSentRuns)
+      sent_runs.runs.pop_front();
     this->nodes.Send(node, *message);
     *message = {};
   };
--- a/daemon/fleet_planner.h
+++ b/daemon/fleet_planner.h
@@ -12,6 +12,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -126,6 +127,17 @@
   std::set<std::string> feeds_running;
   absl::Time next_repair = absl::InfinitePast();
   absl::Time next_waiting = absl::InfinitePast();
+  // Starts that were sent on a connection and may be on their way, by VM.
+  struct SentRun {
+    uint64_t number = 0;
+    TaskRef task;
+    uint32_t run = 0;
+  };
+  struct SentRuns {
+    uint64_t last_number = 0;
+    std::deque<SentRun> runs;
+  };
+  std::map<std::string, SentRuns> sent;
   // Messages that wait for the table of submissions, in order, by VM.
   std::map<std::string, std::vector<FleetMessage>> put_off;
   bool reading_unknown = false;
--- a/daemon/testing/fleet_test.cc
+++ b/daemon/testing/fleet_test.cc
@@ -41,7 +41,8 @@
   sockaddr_in address = {};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  EXPECT_EQ(bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)),
+            0);
   socklen_t size = sizeof(address);
   getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
   close(fd);
@@ -287,16 +288,23 @@
   this->store->SetRefusing(true);
   EXPECT_TRUE(this->WaitUntil([&] { return this->ledger.Starts() == 18; }));
   const Endpoint& front = entry_settings.fleet.submissions;
-  // The planner may still hope to store it; in the end it is refused.
+  // At first the planner may be asked to store a submission, whose outcome is
+  // then unknown; later ones are refused. Each try is a submission of its own.
+  std::string refused_id;
+  int tries = 0;
   EXPECT_TRUE(this->WaitUntil([&] {
-    const HttpResponse refused =
-        this->Call(front, "POST", "/plans/00000000000000c3", kTwoSteps);
-    return refused.status == 503 && refused.headers.contains("retry-after");
+    refused_id = StrCat("00000000000000", 10 + tries++);
+    const HttpResponse answer =
+        this->Call(front, "POST", StrCat("/plans/", refused_id), kTwoSteps);
+    return answer.status == 503 && answer.headers.contains("retry-after");
   }));
   EXPECT_EQ(this->Call(front, "GET", StrCat("/plans/", second)).body,
             R"({"state":"running"})");
   this->store->SetRefusing(false);
   EXPECT_TRUE(this->WaitForState(entry_settings, second, "completed"));
+  // What was refused is not stored, so it never runs.
+  EXPECT_EQ(this->Call(front, "GET", StrCat("/plans/", refused_id)).status,
+            410);
   EXPECT_EQ(this->ledger.Violations(), 0);
 }
 
--- a/submission/active.cc
+++ b/submission/active.cc
@@ -44,7 +44,7 @@
     tasks.tasks.resize(step.count);
     for (TaskSlot& task : tasks.tasks) {
       task.certain = certainty.certain;
-      task.run = certainty.run_floor;
+      task.highest_run = certainty.run_floor;
     }
   }
   return slots;
@@ -72,7 +72,7 @@
         job, {job->submission.id, task.occurrence, task.step, task.index});
     if (slot == nullptr)
       continue;
-    slot->run = std::max(slot->run, task.last_run);
+    slot->highest_run = std::max(slot->highest_run, task.last_run);
     slot->failed_runs = task.failed_runs;
     slot->checkpoint = task.checkpoint;
   }
--- a/submission/active.h
+++ b/submission/active.h
@@ -31,8 +31,10 @@
   TaskPhase phase = TaskPhase::kIdle;
   // False while a run that this planner has not heard of may exist.
   bool certain = true;
-  // The highest run number that was used.
+  // The run that is placed, or was last.
   uint32_t run = 0;
+  // The highest run number that was used, by this planner or an earlier one.
+  uint32_t highest_run = 0;
   // VM of the run, or of the last one.
   std::string vm;
   // When the run was ordered or first heard of.
--- a/submission/scheduler.cc
+++ b/submission/scheduler.cc
@@ -151,7 +151,10 @@
     TaskSlot* slot = job == nullptr ? nullptr : FindSlot(job, task);
     if (slot != nullptr && IsPlacedOn(*slot, report.vm, running.run))
       continue;
-    if (slot == nullptr || slot->phase != TaskPhase::kIdle) {
+    // A run below one that this planner has ordered is an old one.
+    const bool old =
+        slot != nullptr && slot->certain && running.run < slot->highest_run;
+    if (slot == nullptr || slot->phase != TaskPhase::kIdle || old) {
       this->unwanted.push_back({report.vm, task, running.run,
                                 job == nullptr ? std::string_view("unknown")
                                                : ToString(job->state)});
@@ -221,6 +224,7 @@
   slot->phase = TaskPhase::kPlaced;
   slot->certain = true;
   slot->run = run;
+  slot->highest_run = std::max(slot->highest_run, run);
   slot->vm = worker->vm;
   slot->since = now;
   ++job->occurrences[task.occurrence].steps[task.step].placed;
--- a/submission/scheduler_plan.cc
+++ b/submission/scheduler_plan.cc
@@ -222,7 +222,8 @@
         this->Preempt(*candidate, orders, now);
       return;
     }
-    this->Order(candidate, index, worker, slot.run + 1, cost, orders, now);
+    this->Order(candidate, index, worker, slot.highest_run + 1, cost, orders,
+                now);
   }
 }
 
@@ -235,7 +236,7 @@
   for (const TaskSlot& slot : slots.tasks) {
     if (!this->MayStart(slot, now))
       return;
-    run = std::max(run, slot.run + 1);
+    run = std::max(run, slot.highest_run + 1);
   }
   std::vector<std::pair<Worker*, double>> chosen;
   std::vector<uint32_t> last_runs;
@@ -245,7 +246,7 @@
     if (worker == nullptr)
       break;
     chosen.emplace_back(worker, cost);
-    last_runs.push_back(slots.tasks[index].run);
+    last_runs.push_back(slots.tasks[index].highest_run);
     // Counted at once, so that the next member finds the room that is left.
     this->Place(candidate->job, candidate->Task(index), &slots.tasks[index],
                 worker, run, now);
@@ -254,7 +255,7 @@
     const TaskRef task = candidate->Task(index);
     Vacate(chosen[index].first, task);
     this->Release(candidate->job, task, &slots.tasks[index]);
-    slots.tasks[index].run = last_runs[index];
+    slots.tasks[index].highest_run = last_runs[index];
   }
   if (chosen.size() < slots.tasks.size())
     return;
--- a/submission/testing/scheduler_test.cc
+++ b/submission/testing/scheduler_test.cc
@@ -183,6 +183,34 @@
   EXPECT_EQ(orders.starts[0].run, 2u);
 }
 
+// Guards against taking back an old run: a VM whose authority had ended came
+// back with a list from before, its run was adopted, and the next run got a
+// number that was in use. Seen on vardu-klasteris-grown trouble-2 as two runs 2
+// of one task at a time.
+TEST_F(SchedulerTest, AnOldRunIsStoppedAndItsNumberIsNotUsedAgain) {
+  this->scheduler.Sync(MakeReport("vm-1"), this->now);
+  this->Add(MakeSubmission(kId, {MakeStep(1, 1000)}));
+  ASSERT_EQ(this->Plan().starts.size(), 1u);
+  this->scheduler.ExtendAuthority("vm-1", this->now + absl::Seconds(6));
+  this->scheduler.Disconnected("vm-1");
+  this->scheduler.Sync(MakeReport("vm-2"), this->now);
+  this->now += absl::Seconds(7);
+  this->scheduler.Expire(this->now);
+  const Orders second = this->Plan();
+  ASSERT_EQ(second.starts.size(), 1u);
+  ASSERT_EQ(second.starts[0].run, 2u);
+  this->scheduler.OnStartResult("vm-2", second.starts[0].task, 2,
+                                StartOutcome::kRefused, this->now);
+  WorkerReport stale = MakeReport("vm-1");
+  stale.running.push_back({{kId, 0, 0, 0}, 1, "", 10});
+  this->scheduler.Sync(stale, this->now);
+  const Orders third = this->Plan();
+  ASSERT_EQ(third.stops.size(), 1u);
+  EXPECT_EQ(third.stops[0].run, 1u);
+  for (const StartOrder& start : third.starts)
+    EXPECT_EQ(start.run, 3u);
+}
+
 TEST_F(SchedulerTest, NewLifeOfARunnerEndsItsTasks) {
   this->scheduler.Sync(MakeReport("vm-1", 1), this->now);
   this->Add(MakeSubmission(kId, {MakeStep(1, 1000)}));
