--- a/base/log.cc
+++ b/base/log.cc
@@ -1,5 +1,7 @@
 #include "base/log.h"
 
+#include <climits>
+
 #include <log4cplus/configurator.h>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
@@ -233,8 +235,21 @@
                      .Add("count", batch_dropped)
                      .Finish());
   }
-  if (!batch.empty())
-    this->logger.log(log4cplus::INFO_LOG_LEVEL, batch);
+  // In pieces of whole lines: a pipe takes a write of up to PIPE_BUF bytes in
+  // whole, and a longer one may be cut off by a reader that is behind.
+  size_t begin = 0;
+  while (begin < batch.size()) {
+    size_t end = batch.size();
+    if (end - begin > PIPE_BUF) {
+      end = batch.rfind('\n', begin + PIPE_BUF - 1) + 1;
+      // A line that is longer than a piece goes out by itself.
+      if (end <= begin)
+        end = batch.find('\n', begin) + 1;
+    }
+    this->logger.log(log4cplus::INFO_LOG_LEVEL,
+                     batch.substr(begin, end - begin));
+    begin = end;
+  }
 }
 
 Log::Log(const std::string& path) {
--- a/daemon/fleet_entry.cc
+++ b/daemon/fleet_entry.cc
@@ -20,6 +20,11 @@
 constexpr absl::Duration kCallTimeout = absl::Milliseconds(700);
 constexpr absl::Duration kRetryPause = absl::Milliseconds(50);
 
+// Limit for a row that the planner is asked to store. A planner that can't is
+// known as such within 1.7 s; a caller is not held for longer than a commit and
+// the way to another region take.
+constexpr absl::Duration kRelayTimeout = absl::Milliseconds(700);
+
 // What a caller that does not say so waits for an answer.
 constexpr int64_t kDefaultPatienceMs = 3000;
 
@@ -373,7 +378,8 @@
                        bool cancel,
                        absl::Time deadline,
                        std::function<void(bool stored)> done) {
-  const absl::Duration left = deadline - BootClock().Now();
+  const absl::Duration left =
+      std::min(deadline - BootClock().Now(), kRelayTimeout);
   if (!this->port->IsConnected() || this->view.store_trouble ||
       left <= absl::ZeroDuration())
     return false;
