--- a/daemon/fleet_agent.cc
+++ b/daemon/fleet_agent.cc
@@ -105,17 +105,9 @@
                        .max_connections = kMaxConnections},
       [this](HttpExchange* exchange) { this->OnRunnerRequest(exchange); });
   BOOST_OUTCOME_TRY(this->front->Start());
-  if (fleet.metrics.port != 0) {
-    this->metrics_front = std::make_unique<HttpFront>(
-        context,
-        HttpFrontOptions{.host = listen.host, .port = fleet.metrics.port},
-        [this](HttpExchange* exchange) {
-          this->metrics_front->Answer(
-              exchange,
-              {200, {{"Content-Type", "text/plain"}}, this->metrics.Text()});
-        });
-    BOOST_OUTCOME_TRY(this->metrics_front->Start());
-  }
+  this->metrics_front = std::make_unique<MetricsFront>(context, &this->metrics);
+  BOOST_OUTCOME_TRY(
+      this->metrics_front->Start({listen.host, fleet.metrics.port}));
   this->registration = std::make_unique<NodeRegistration>(
       context, this->store.get(),
       NodeRow{{listen.host, listen.peer_port}, true}, this->settings.name,
--- a/daemon/fleet_agent.h
+++ b/daemon/fleet_agent.h
@@ -17,6 +17,7 @@
 #include "base/http_front.h"
 #include "base/log.h"
 #include "base/metrics.h"
+#include "daemon/metrics_front.h"
 #include "daemon/node_row.h"
 #include "daemon/planner_port.h"
 #include "daemon/runner_guard.h"
@@ -62,7 +63,7 @@
   std::unique_ptr<RunnerGuard> guard;
   std::unique_ptr<PlannerPort> port;
   std::unique_ptr<HttpFront> front;
-  std::unique_ptr<HttpFront> metrics_front;
+  std::unique_ptr<MetricsFront> metrics_front;
   // The last heartbeat of the present life.
   RunnerInfo info;
   int64_t sequence = 0;
--- a/daemon/fleet_entry.cc
+++ b/daemon/fleet_entry.cc
@@ -7,6 +7,7 @@
 
 #include "base/strings.h"
 #include "base/time.h"
+#include "daemon/fleet_entry_internal.h"
 #include "platform/bodies.h"
 #include "platform/calls.h"
 
@@ -16,22 +17,6 @@
 
 constexpr std::chrono::milliseconds kTick(100);
 
-// Limit for one call to the store; a slow store answers in 240 ms.
-constexpr absl::Duration kCallTimeout = absl::Milliseconds(700);
-constexpr absl::Duration kRetryPause = absl::Milliseconds(50);
-
-// Limit for a row that the planner is asked to store. A planner that can't is
-// known as such within 1.7 s; a caller is not held for longer than a commit and
-// the way to another region take.
-constexpr absl::Duration kRelayTimeout = absl::Milliseconds(700);
-
-// What a caller that does not say so waits for an answer.
-constexpr int64_t kDefaultPatienceMs = 3000;
-
-// The last moment for an answer is this long before the caller's patience
-// ends: a round trip to a caller takes 6 ms.
-constexpr absl::Duration kAnswerMargin = absl::Milliseconds(150);
-
 // Callers that are refused come back after this, in seconds: an outage of the
 // store lasts 4 to 9 s, and callers try four times more.
 constexpr char kRetryAfterS[] = "2";
@@ -51,15 +36,6 @@
 
 }  // namespace
 
-// A submission whose row is being stored.
-struct FleetEntry::Submit {
-  HttpExchange* exchange = nullptr;
-  Submission submission;
-  absl::Time deadline;
-  // A try may have been carried out, or may still be.
-  bool maybe = false;
-};
-
 Result<std::unique_ptr<FleetEntry>> FleetEntry::Start(const Settings& settings,
                                                       Log* log) {
   std::unique_ptr<FleetEntry> entry(new FleetEntry(settings, log));
@@ -138,17 +114,9 @@
       HttpFrontOptions{.host = fleet.ready.host, .port = fleet.ready.port},
       [this](HttpExchange* exchange) { this->OnReadyRequest(exchange); });
   BOOST_OUTCOME_TRY(this->ready_front->Start());
-  if (fleet.metrics.port != 0) {
-    this->metrics_front = std::make_unique<HttpFront>(
-        context,
-        HttpFrontOptions{.host = listen.host, .port = fleet.metrics.port},
-        [this](HttpExchange* exchange) {
-          this->metrics_front->Answer(
-              exchange,
-              {200, {{"Content-Type", "text/plain"}}, this->metrics.Text()});
-        });
-    BOOST_OUTCOME_TRY(this->metrics_front->Start());
-  }
+  this->metrics_front = std::make_unique<MetricsFront>(context, &this->metrics);
+  BOOST_OUTCOME_TRY(
+      this->metrics_front->Start({listen.host, fleet.metrics.port}));
   this->registration = std::make_unique<NodeRegistration>(
       context, this->store.get(),
       NodeRow{{listen.host, listen.peer_port}, false}, this->settings.name,
@@ -277,145 +245,6 @@
   }
 }
 
-void FleetEntry::OnSubmit(HttpExchange* exchange,
-                          const Queue& queue,
-                          const std::string& id) {
-  const int64_t limit = this->follower->Policy().max_body_bytes;
-  if (limit > 0 && static_cast<int64_t>(exchange->body.size()) > limit) {
-    this->Refuse(exchange, 413, id, "body-too-large");
-    return;
-  }
-  // A repetition of a submission that is stored.
-  if (this->states.contains(id)) {
-    this->Reply(exchange, 200, "{}");
-    return;
-  }
-  auto submission = ParseSubmission(exchange->body);
-  if (!submission) {
-    this->Refuse(exchange, 400, id, "bad-body");
-    return;
-  }
-  auto submit = std::make_shared<Submit>();
-  submit->exchange = exchange;
-  submit->submission = std::move(submission.value());
-  submit->submission.id = id;
-  submit->submission.queue = queue.name;
-  submit->maybe = this->doubtful.contains(id);
-  submit->submission.accepted_ms = absl::ToUnixMillis(absl::Now());
-  submit->deadline =
-      BootClock().Now() +
-      absl::Milliseconds(
-          CallerPatienceMs(exchange->headers).value_or(kDefaultPatienceMs)) -
-      kAnswerMargin;
-  if (this->follower->IsStoreLost())
-    this->OnStoreUnavailable(submit);
-  else
-    this->SendSubmit(submit);
-}
-
-void FleetEntry::SendSubmit(const std::shared_ptr<Submit>& submit) {
-  const std::string& id = submit->submission.id;
-  const absl::Duration left = submit->deadline - BootClock().Now();
-  this->store->Commit(
-      {.expects = {{kSubmissionTable, id, 0}},
-       .puts = {{kSubmissionTable, id, Encode(submit->submission)}}},
-      std::clamp(left, absl::Milliseconds(1), kCallTimeout),
-      [this, submit](CommitReply&& reply) {
-        this->OnSubmitReply(submit, std::move(reply));
-      });
-}
-
-void FleetEntry::OnSubmitReply(const std::shared_ptr<Submit>& submit,
-                               CommitReply&& reply) {
-  const std::string& id = submit->submission.id;
-  // A conflict means that the row exists: by an earlier try, or by another
-  // entry that got the same submission.
-  if (!reply.error || reply.error == PlatformError::kConflict) {
-    this->Accept(submit);
-    return;
-  }
-  const bool refused = reply.error == PlatformError::kRefused ||
-                       reply.error == PlatformError::kNotSent;
-  if (!refused) {
-    submit->maybe = true;
-    this->doubtful.insert(id);
-  }
-  // A lost reply is followed up; an outage is not waited for.
-  if (refused || this->follower->IsStoreLost() ||
-      BootClock().Now() + kRetryPause >= submit->deadline) {
-    this->OnStoreUnavailable(submit);
-    return;
-  }
-  auto pause = std::make_shared<boost::asio::steady_timer>(
-      this->thread.Context(), absl::ToChronoMilliseconds(kRetryPause));
-  pause->async_wait([this, submit, pause](std::error_code error) {
-    if (!error)
-      this->SendSubmit(submit);
-  });
-}
-
-void FleetEntry::OnStoreUnavailable(const std::shared_ptr<Submit>& submit) {
-  const std::string& id = submit->submission.id;
-  const auto done = [this, submit](bool stored) {
-    if (stored) {
-      this->Accept(submit);
-      return;
-    }
-    this->doubtful.insert(submit->submission.id);
-    this->Refuse(submit->exchange, 504, submit->submission.id,
-                 "outcome-unknown");
-  };
-  if (this->Relay(submit->submission, false, submit->deadline, done))
-    return;
-  // Only what was never sent certainly does not run.
-  if (submit->maybe)
-    this->Refuse(submit->exchange, 504, id, "outcome-unknown");
-  else
-    this->Refuse(submit->exchange, 503, id, "store-unavailable");
-}
-
-bool FleetEntry::Relay(const Submission& submission,
-                       bool cancel,
-                       absl::Time deadline,
-                       std::function<void(bool stored)> done) {
-  const absl::Duration left =
-      std::min(deadline - BootClock().Now(), kRelayTimeout);
-  if (!this->port->IsConnected() || this->view.store_trouble ||
-      left <= absl::ZeroDuration())
-    return false;
-  const uint64_t number = this->next_relay++;
-  this->relays[number] = std::move(done);
-  this->port->Send(StoreRequest{number, submission, cancel});
-  this->log->Write(LogLine("store_relayed")
-                       .Add("submission", submission.id)
-                       .Add("cancel", cancel)
-                       .Add("epoch", this->port->Epoch()));
-  auto timer = std::make_shared<boost::asio::steady_timer>(
-      this->thread.Context(), absl::ToChronoMicroseconds(left));
-  timer->async_wait([this, number, timer](std::error_code error) {
-    auto waiting_relay = this->relays.extract(number);
-    if (!error && !waiting_relay.empty())
-      waiting_relay.mapped()(false);
-  });
-  return true;
-}
-
-void FleetEntry::Accept(const std::shared_ptr<Submit>& submit) {
-  const Submission& submission = submit->submission;
-  this->metrics.GetCounter("submissions_accepted_total").Add();
-  this->log->Write(LogLine("submission_accepted")
-                       .Add("submission", submission.id)
-                       .Add("queue", submission.queue)
-                       .Add("steps", submission.steps.size())
-                       .Add("epoch", this->port->Epoch())
-                       .Add("planner_connected", this->port->IsConnected()));
-  this->states.emplace(submission.id, SubmissionState::kQueued);
-  this->doubtful.erase(submission.id);
-  this->port->Send(AcceptedNotice{submission});
-  this->recent.emplace_back(BootClock().Now(), submission);
-  this->Reply(submit->exchange, 200, "{}");
-}
-
 void FleetEntry::LookUp(
     const std::string& id,
     std::function<void(std::error_code, std::optional<SubmissionState>)> done) {
--- a/daemon/fleet_entry.h
+++ b/daemon/fleet_entry.h
@@ -30,6 +30,7 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "daemon/fleet_planner.h"
+#include "daemon/metrics_front.h"
 #include "daemon/node_row.h"
 #include "daemon/planner_port.h"
 #include "daemon/policy_follower.h"
@@ -111,7 +112,7 @@
   std::unique_ptr<PlannerPort> port;
   std::unique_ptr<HttpFront> front;
   std::unique_ptr<HttpFront> ready_front;
-  std::unique_ptr<HttpFront> metrics_front;
+  std::unique_ptr<MetricsFront> metrics_front;
   bool stopping = false;
   PlannerView view;
   absl::flat_hash_map<std::string, SubmissionState> states;
--- a/daemon/fleet_planner.cc
+++ b/daemon/fleet_planner.cc
@@ -43,11 +43,6 @@
 // Events of one moment are planned together.
 constexpr std::chrono::milliseconds kRunDelay(2);
 
-// How often the tables are read for what a connection lost.
-constexpr absl::Duration kRepairInterval = absl::Milliseconds(1500);
-
-constexpr absl::Duration kReadTimeout = absl::Seconds(2);
-constexpr absl::Duration kNodeFeedWait = absl::Seconds(8);
 constexpr absl::Duration kWaitingInterval = absl::Milliseconds(400);
 
 // Runs in one message, which keeps it below the longest frame: texts have up
@@ -63,15 +58,6 @@
 
 }  // namespace
 
-// The tables that a new planner reads, in this order.
-struct FleetPlanner::LoadedRows {
-  uint64_t term = 0;
-  std::vector<std::string> left = {kSubmissionTable, kProgressTable,
-                                   kCancellationTable, kNodeTable};
-  std::map<std::string, std::vector<StoreRow>> rows;
-  absl::Time started;
-};
-
 FleetPlanner::FleetPlanner(boost::asio::io_context* context,
                            Store* store,
                            const std::string& vm,
@@ -200,17 +186,6 @@
   return now - this->lease.LastSuccess() > kTroubleAfter;
 }
 
-void FleetPlanner::OnClaimed(uint64_t epoch) {
-  this->takeovers_total.Add();
-  ++this->term;
-  auto rows = std::make_shared<LoadedRows>();
-  rows->term = this->term;
-  rows->started = BootClock().Now();
-  this->nodes.Begin(epoch);
-  this->feed_versions.clear();
-  this->LoadNext(rows);
-}
-
 void FleetPlanner::StepDown() {
   if (!this->lease.IsHeld() && !this->scheduler)
     return;
@@ -236,209 +211,6 @@
   });
 }
 
-void FleetPlanner::LoadNext(const std::shared_ptr<LoadedRows>& rows) {
-  if (rows->left.empty()) {
-    this->OnLoaded(*rows);
-    return;
-  }
-  const std::string table = rows->left.back();
-  this->LoadTable(table, "", rows);
-}
-
-void FleetPlanner::LoadTable(const std::string& table,
-                             const std::string& from,
-                             const std::shared_ptr<LoadedRows>& rows) {
-  this->store->Read(
-      table, from, 0, kReadTimeout,
-      [this, table, from, rows](RowsReply&& reply) {
-        if (rows->term != this->term)
-          return;
-        if (reply.error) {
-          this->log->Write(LogLine("load_failed", LogLevel::kWarning)
-                               .Add("table", table)
-                               .Add("error", reply.error));
-          this->run_timer.expires_after(std::chrono::milliseconds(100));
-          this->run_timer.async_wait(
-              [this, table, from, rows](std::error_code error) {
-                if (!error && rows->term == this->term)
-                  this->LoadTable(table, from, rows);
-              });
-          return;
-        }
-        // The feed goes on from the first page, which is the oldest.
-        this->feed_versions.emplace(table, reply.version);
-        std::vector<StoreRow>& kept = rows->rows[table];
-        std::string next;
-        if (!reply.rows.empty())
-          next = reply.rows.back().key + '\0';
-        std::move(reply.rows.begin(), reply.rows.end(),
-                  std::back_inserter(kept));
-        if (reply.more && !next.empty()) {
-          this->LoadTable(table, next, rows);
-          return;
-        }
-        rows->left.pop_back();
-        this->LoadNext(rows);
-      });
-}
-
-void FleetPlanner::OnLoaded(const LoadedRows& rows) {
-  const absl::Time now = BootClock().Now();
-  const absl::Time wall = absl::Now();
-  this->scheduler = std::make_unique<Scheduler>();
-  this->scheduler->SetPolicy(this->policy);
-  std::map<std::string, Progress> progress;
-  size_t damaged = 0;
-  const auto find = [&](const char* table) -> const std::vector<StoreRow>& {
-    static const std::vector<StoreRow> none;
-    const auto found = rows.rows.find(table);
-    return found == rows.rows.end() ? none : found->second;
-  };
-  for (const StoreRow& row : find(kProgressTable)) {
-    auto decoded = Decode<Progress>(row.value);
-    if (decoded)
-      progress[row.key] = std::move(decoded.value());
-    else
-      ++damaged;
-  }
-  for (const StoreRow& row : find(kSubmissionTable)) {
-    const auto submission = Decode<Submission>(row.value);
-    if (!submission) {
-      ++damaged;
-      continue;
-    }
-    const auto known = progress.find(row.key);
-    std::optional<Progress> kept;
-    if (known != progress.end())
-      kept = known->second;
-    this->scheduler->Add(submission.value(), kept,
-                         UncertainSince(this->lease.Epoch()), now, wall);
-  }
-  for (const StoreRow& row : find(kCancellationTable))
-    this->scheduler->Cancel(row.key);
-  for (const StoreRow& row : find(kNodeTable)) {
-    const auto node = Decode<NodeRow>(row.value);
-    if (!node) {
-      ++damaged;
-      continue;
-    }
-    if (node.value().agent && this->lease.Epoch() > 1)
-      this->scheduler->ExpectWorker(row.key, this->EarlierAuthorityEnd(now));
-    this->nodes.Add(row.key, node.value());
-  }
-  this->log->Write(
-      LogLine("planner_started")
-          .Add("epoch", this->lease.Epoch())
-          .Add("submissions", find(kSubmissionTable).size())
-          .Add("live", this->scheduler->LiveCount())
-          .Add("workers_to_hear", this->scheduler->UnresolvedCount())
-          .Add("damaged_rows", damaged)
-          .Add("load_ms", absl::ToDoubleMilliseconds(now - rows.started)));
-  this->next_repair = now + kRepairInterval;
-  this->next_waiting = absl::InfinitePast();
-  this->FollowNodes();
-  this->ScheduleRun();
-}
-
-void FleetPlanner::FollowNodes() {
-  this->store->Feed(
-      kNodeTable, this->feed_versions[kNodeTable], kNodeFeedWait,
-      [this, term = this->term](RowsReply&& reply) {
-        if (term != this->term)
-          return;
-        if (reply.error == PlatformError::kHistoryGone) {
-          // Rows that changed meanwhile are told again by a whole read.
-          this->store->Read(kNodeTable, "", 0, kReadTimeout,
-                            [this, term](RowsReply&& whole) {
-                              if (term != this->term)
-                                return;
-                              if (!whole.error)
-                                this->feed_versions[kNodeTable] = whole.version;
-                              for (const StoreRow& row : whole.rows) {
-                                const auto node = Decode<NodeRow>(row.value);
-                                if (node)
-                                  this->nodes.Add(row.key, node.value());
-                              }
-                              this->FollowNodes();
-                            });
-          return;
-        }
-        if (!reply.error) {
-          this->feed_versions[kNodeTable] = reply.version;
-          for (const StoreRow& row : reply.rows) {
-            const auto node = Decode<NodeRow>(row.value);
-            if (node && !row.deleted)
-              this->nodes.Add(row.key, node.value());
-          }
-          this->FollowNodes();
-          return;
-        }
-        auto pause = std::make_shared<boost::asio::steady_timer>(
-            *this->context, std::chrono::milliseconds(200));
-        pause->async_wait([this, term, pause](std::error_code error) {
-          if (!error && term == this->term)
-            this->FollowNodes();
-        });
-      });
-}
-
-void FleetPlanner::RepairFromFeeds(absl::Time now) {
-  if (now < this->next_repair)
-    return;
-  this->next_repair = now + kRepairInterval;
-  this->RepairTable(kSubmissionTable);
-  this->RepairTable(kCancellationTable);
-}
-
-void FleetPlanner::RepairTable(const std::string& table) {
-  if (!this->feeds_running.insert(table).second)
-    return;
-  const auto take = [this, table, term = this->term](RowsReply&& reply) {
-    if (term != this->term)
-      return;
-    this->feeds_running.erase(table);
-    if (reply.error == PlatformError::kHistoryGone) {
-      // Version 0 makes the next repair read the whole table.
-      this->feed_versions[table] = 0;
-      return;
-    }
-    if (reply.error)
-      return;
-    if (!reply.more)
-      this->feed_versions[table] = reply.version;
-    for (const StoreRow& row : reply.rows) {
-      if (table == kCancellationTable)
-        this->scheduler->Cancel(row.key);
-      else
-        this->TakeSubmissionRow(row);
-    }
-    if (!reply.rows.empty())
-      this->ScheduleRun();
-  };
-  if (this->feed_versions[table] == 0)
-    this->store->Read(table, "", 0, kReadTimeout, take);
-  else
-    this->store->Feed(table, this->feed_versions[table], absl::Milliseconds(1),
-                      take);
-}
-
-void FleetPlanner::TakeSubmissionRow(const StoreRow& row) {
-  if (this->scheduler->Knows(row.key))
-    return;
-  const auto submission = Decode<Submission>(row.value);
-  if (!submission) {
-    this->log->Write(LogLine("submission_row_damaged", LogLevel::kError)
-                         .Add("submission", row.key)
-                         .Add("error", submission.error()));
-    return;
-  }
-  // Its entry may have told an earlier planner that still reaches a worker
-  // which this one does not.
-  this->scheduler->Add(submission.value(), std::nullopt,
-                       UncertainSince(this->lease.Epoch()), BootClock().Now(),
-                       absl::Now());
-}
-
 void FleetPlanner::OnNodeMessage(const std::string& node,
                                  FleetMessage&& message) {
   if (!this->PutOff(node, &message))
@@ -459,37 +231,6 @@
   return true;
 }
 
-void FleetPlanner::ReadUnknown() {
-  if (std::exchange(this->reading_unknown, true))
-    return;
-  const auto take = [this, term = this->term](RowsReply&& reply) {
-    if (term != this->term)
-      return;
-    this->reading_unknown = false;
-    for (const StoreRow& row : reply.rows)
-      this->TakeSubmissionRow(row);
-    if (!reply.error && !reply.more) {
-      this->TakePutOff();
-      return;
-    }
-    if (reply.error == PlatformError::kHistoryGone)
-      this->feed_versions[kSubmissionTable] = 0;
-    else if (!reply.error)
-      this->feed_versions[kSubmissionTable] = reply.rows.back().version;
-    auto pause = std::make_shared<boost::asio::steady_timer>(
-        *this->context, std::chrono::milliseconds(50));
-    pause->async_wait([this, term, pause](std::error_code error) {
-      if (!error && term == this->term)
-        this->ReadUnknown();
-    });
-  };
-  const int64_t version = this->feed_versions[kSubmissionTable];
-  if (version == 0)
-    this->store->Read(kSubmissionTable, "", 0, kReadTimeout, take);
-  else
-    this->store->Feed(kSubmissionTable, version, absl::Milliseconds(1), take);
-}
-
 void FleetPlanner::TakePutOff() {
   auto messages = std::exchange(this->put_off, {});
   for (auto& [node, list] : messages) {
