Read every page of a table, also after the store has dropped its history

Found by reading the change: when the history was gone, the repair read only the first 500 rows, and a put-off report took the version of the last row of a page in order of keys as the point to go on from, which passes over rows. One function reads whole tables now, for the start and for the repair. The new test has pages of two rows and a compaction; it was written after the change and not run without it.

--- a/daemon/fleet_planner.h
+++ b/daemon/fleet_planner.h
@@ -73,11 +73,16 @@
   bool ShouldClaim(const PlannerView& view, absl::Time now, bool* vacant);
   void OnClaimed(uint64_t epoch);
   void StepDown();
-  void LoadTable(const std::string& table,
-                 const std::string& from,
-                 const std::shared_ptr<LoadedRows>& rows);
   void LoadNext(const std::shared_ptr<LoadedRows>& rows);
   void OnLoaded(const LoadedRows& rows);
+  // Reads all pages of a table. `done` is not called after a change of term.
+  void ReadTable(const std::string& table,
+                 std::function<void(RowsReply&&)> done);
+  void ReadPage(const std::string& table,
+                const std::string& from,
+                std::shared_ptr<RowsReply> pages,
+                std::function<void(RowsReply&&)> done);
+  void TakeNodeRows(const std::vector<StoreRow>& rows);
   void FollowNodes();
   void RepairFromFeeds(absl::Time now);
   void RepairTable(const std::string& table);
--- a/daemon/fleet_planner_load.cc
+++ b/daemon/fleet_planner_load.cc
@@ -17,10 +17,11 @@
 
 constexpr absl::Duration kReadTimeout = absl::Seconds(2);
 constexpr absl::Duration kNodeFeedWait = absl::Seconds(8);
+constexpr std::chrono::milliseconds kRetryPause(100);
 
 }  // namespace
 
-// The tables that a new planner reads, in this order.
+// The tables that a new planner reads, from the last to the first.
 struct FleetPlanner::LoadedRows {
   uint64_t term = 0;
   std::vector<std::string> left = {kSubmissionTable, kProgressTable,
@@ -46,43 +47,53 @@
     return;
   }
   const std::string table = rows->left.back();
-  this->LoadTable(table, "", rows);
+  this->ReadTable(table, [this, table, rows](RowsReply&& reply) {
+    if (!reply.error) {
+      this->feed_versions[table] = reply.version;
+      rows->rows[table] = std::move(reply.rows);
+      rows->left.pop_back();
+      this->LoadNext(rows);
+      return;
+    }
+    this->log->Write(LogLine("load_failed", LogLevel::kWarning)
+                         .Add("table", table)
+                         .Add("error", reply.error));
+    this->run_timer.expires_after(kRetryPause);
+    this->run_timer.async_wait([this, rows](std::error_code error) {
+      if (!error && rows->term == this->term)
+        this->LoadNext(rows);
+    });
+  });
 }
 
-void FleetPlanner::LoadTable(const std::string& table,
-                             const std::string& from,
-                             const std::shared_ptr<LoadedRows>& rows) {
+void FleetPlanner::ReadTable(const std::string& table,
+                             std::function<void(RowsReply&&)> done) {
+  this->ReadPage(table, "", std::make_shared<RowsReply>(), std::move(done));
+}
+
+void FleetPlanner::ReadPage(const std::string& table,
+                            const std::string& from,
+                            std::shared_ptr<RowsReply> pages,
+                            std::function<void(RowsReply&&)> done) {
   this->store->Read(
       table, from, 0, kReadTimeout,
-      [this, table, from, rows](RowsReply&& reply) {
-        if (rows->term != this->term)
-          return;
-        if (reply.error) {
-          this->log->Write(LogLine("load_failed", LogLevel::kWarning)
-                               .Add("table", table)
-                               .Add("error", reply.error));
-          this->run_timer.expires_after(std::chrono::milliseconds(100));
-          this->run_timer.async_wait(
-              [this, table, from, rows](std::error_code error) {
-                if (!error && rows->term == this->term)
-                  this->LoadTable(table, from, rows);
-              });
+      [this, term = this->term, table, from, pages = std::move(pages),
+       done = std::move(done)](RowsReply&& reply) {
+        if (term != this->term)
           return;
-        }
         // The feed goes on from the first page, which is the oldest.
-        this->feed_versions.emplace(table, reply.version);
-        std::vector<StoreRow>& kept = rows->rows[table];
-        std::string next;
-        if (!reply.rows.empty())
-          next = reply.rows.back().key + '\0';
+        if (from.empty())
+          pages->version = reply.version;
         std::move(reply.rows.begin(), reply.rows.end(),
-                  std::back_inserter(kept));
-        if (reply.more && !next.empty()) {
-          this->LoadTable(table, next, rows);
+                  std::back_inserter(pages->rows));
+        pages->error = reply.error;
+        if (!reply.error && reply.more && !pages->rows.empty()) {
+          // The least key after the last one.
+          const std::string next = pages->rows.back().key + '\0';
+          this->ReadPage(table, next, pages, done);
           return;
         }
-        rows->left.pop_back();
-        this->LoadNext(rows);
+        done(std::move(*pages));
       });
 }
 
@@ -144,6 +155,20 @@
   this->ScheduleRun();
 }
 
+void FleetPlanner::TakeNodeRows(const std::vector<StoreRow>& rows) {
+  for (const StoreRow& row : rows) {
+    const auto node = Decode<NodeRow>(row.value);
+    if (row.deleted)
+      continue;
+    if (node)
+      this->nodes.Add(row.key, node.value());
+    else
+      this->log->Write(LogLine("node_row_damaged", LogLevel::kError)
+                           .Add("node", row.key)
+                           .Add("error", node.error()));
+  }
+}
+
 void FleetPlanner::FollowNodes() {
   this->store->Feed(
       kNodeTable, this->feed_versions[kNodeTable], kNodeFeedWait,
@@ -152,28 +177,17 @@
           return;
         if (reply.error == PlatformError::kHistoryGone) {
           // Rows that changed meanwhile are told again by a whole read.
-          this->store->Read(kNodeTable, "", 0, kReadTimeout,
-                            [this, term](RowsReply&& whole) {
-                              if (term != this->term)
-                                return;
-                              if (!whole.error)
-                                this->feed_versions[kNodeTable] = whole.version;
-                              for (const StoreRow& row : whole.rows) {
-                                const auto node = Decode<NodeRow>(row.value);
-                                if (node)
-                                  this->nodes.Add(row.key, node.value());
-                              }
-                              this->FollowNodes();
-                            });
+          this->ReadTable(kNodeTable, [this](RowsReply&& whole) {
+            if (!whole.error)
+              this->feed_versions[kNodeTable] = whole.version;
+            this->TakeNodeRows(whole.rows);
+            this->FollowNodes();
+          });
           return;
         }
         if (!reply.error) {
           this->feed_versions[kNodeTable] = reply.version;
-          for (const StoreRow& row : reply.rows) {
-            const auto node = Decode<NodeRow>(row.value);
-            if (node && !row.deleted)
-              this->nodes.Add(row.key, node.value());
-          }
+          this->TakeNodeRows(reply.rows);
           this->FollowNodes();
           return;
         }
@@ -208,8 +222,7 @@
     }
     if (reply.error)
       return;
-    if (!reply.more)
-      this->feed_versions[table] = reply.version;
+    this->feed_versions[table] = reply.version;
     for (const StoreRow& row : reply.rows) {
       if (table == kCancellationTable)
         this->scheduler->Cancel(row.key);
@@ -220,7 +233,7 @@
       this->ScheduleRun();
   };
   if (this->feed_versions[table] == 0)
-    this->store->Read(table, "", 0, kReadTimeout, take);
+    this->ReadTable(table, take);
   else
     this->store->Feed(table, this->feed_versions[table], absl::Milliseconds(1),
                       take);
@@ -252,14 +265,12 @@
     this->reading_unknown = false;
     for (const StoreRow& row : reply.rows)
       this->TakeSubmissionRow(row);
-    if (!reply.error && !reply.more) {
+    if (!reply.error) {
       this->TakePutOff();
       return;
     }
     if (reply.error == PlatformError::kHistoryGone)
       this->feed_versions[kSubmissionTable] = 0;
-    else if (!reply.error)
-      this->feed_versions[kSubmissionTable] = reply.rows.back().version;
     auto pause = std::make_shared<boost::asio::steady_timer>(
         *this->context, std::chrono::milliseconds(50));
     pause->async_wait([this, term, pause](std::error_code error) {
@@ -269,7 +280,7 @@
   };
   const int64_t version = this->feed_versions[kSubmissionTable];
   if (version == 0)
-    this->store->Read(kSubmissionTable, "", 0, kReadTimeout, take);
+    this->ReadTable(kSubmissionTable, take);
   else
     this->store->Feed(kSubmissionTable, version, absl::Milliseconds(1), take);
 }
--- a/daemon/testing/fleet_test.cc
+++ b/daemon/testing/fleet_test.cc
@@ -308,6 +308,39 @@
   EXPECT_EQ(this->ledger.Violations(), 0);
 }
 
+// Guards against a planner that reads only the first page of a table, at its
+// start and after the store has dropped its history.
+TEST_F(FleetTest, EveryPageIsReadAlsoWhenTheHistoryIsGone) {
+  auto runner = std::move(
+      RunnerStandin::Start(&this->ledger, absl::Milliseconds(50)).value());
+  this->store->SetPageSize(2);
+  const Settings entry_settings = this->EntrySettings("entry-1");
+  const Settings agent_settings = this->AgentSettings("agent-1", *runner);
+  const auto put = [&](const std::string& id) {
+    Submission submission;
+    submission.id = id;
+    submission.queue = "plans";
+    submission.text = "text";
+    Step step;
+    step.count = 1;
+    step.size = {500, 10, 0};
+    submission.steps.push_back(step);
+    this->store->Put("submission", "fleet", id, Encode(submission));
+  };
+  for (int number = 10; number < 15; ++number)
+    put(StrCat("00000000000000", number));
+  auto entry = FleetEntry::Start(entry_settings, &this->log);
+  auto agent = FleetAgent::Start(agent_settings, &this->log);
+  ASSERT_EQ(this->Beat(agent_settings, *runner), 200);
+  EXPECT_TRUE(this->WaitUntil([&] { return this->ledger.Starts() == 5; }));
+  // Rows of another entry that died before it could tell of them.
+  for (int number = 15; number < 20; ++number)
+    put(StrCat("00000000000000", number));
+  this->store->Compact();
+  EXPECT_TRUE(this->WaitUntil([&] { return this->ledger.Starts() == 10; }));
+  EXPECT_EQ(this->ledger.Violations(), 0);
+}
+
 TEST_F(FleetTest, ACancelledSubmissionStopsAndStaysCancelled) {
   auto runner =
       std::move(RunnerStandin::Start(&this->ledger, absl::Seconds(50)).value());
--- a/testing/support/store_standin.cc
+++ b/testing/support/store_standin.cc
@@ -66,6 +66,16 @@
   this->refusing = value;
 }
 
+void StoreStandin::Compact() {
+  absl::MutexLock lock(&this->mutex);
+  this->oldest = ++this->version;
+}
+
+void StoreStandin::SetPageSize(size_t value) {
+  absl::MutexLock lock(&this->mutex);
+  this->page_size = value;
+}
+
 void StoreStandin::LoseReplies(int count) {
   absl::MutexLock lock(&this->mutex);
   this->lose = count;
@@ -128,9 +138,9 @@
 
 HttpResponse StoreStandin::Read(const HttpRequest& request) {
   const std::string limit = Query(request, "limit");
-  const size_t most =
-      limit.empty() ? 500 : std::strtoul(limit.c_str(), nullptr, 10);
   absl::MutexLock lock(&this->mutex);
+  const size_t most = limit.empty() ? this->page_size
+                                    : std::strtoul(limit.c_str(), nullptr, 10);
   json list = json::array();
   bool more = false;
   for (const auto& [name, row] : this->rows) {
@@ -165,10 +175,13 @@
       std::strtoll(Query(request, "waitMs").c_str(), nullptr, 10);
   absl::MutexLock lock(&this->mutex);
   const auto ready = [&] {
-    return this->refusing || this->HasNewer(table, after);
+    return this->refusing || after < this->oldest ||
+           this->HasNewer(table, after);
   };
   this->mutex.AwaitWithTimeout(absl::Condition(&ready),
                                absl::Milliseconds(wait_ms));
+  if (after < this->oldest)
+    return Answer(410, json::object());
   json list = json::array();
   for (const auto& [name, row] : this->rows) {
     if (std::get<0>(name) == table && row.version > after)
--- a/testing/support/store_standin.h
+++ b/testing/support/store_standin.h
@@ -48,6 +48,12 @@
   // Answers 503 to every call while set; nothing is done then.
   void SetRefusing(bool refusing);
 
+  // Drops the history: feeds from an earlier version get 410.
+  void Compact();
+
+  // The most rows in an answer to a read.
+  void SetPageSize(size_t rows);
+
   // Carries out the next transactions without an answer.
   void LoseReplies(int count);
 
@@ -69,6 +75,8 @@
   mutable absl::Mutex mutex;
   std::map<Name, Row> rows;
   int64_t version = 0;
+  int64_t oldest = 0;
+  size_t page_size = 500;
   bool refusing = false;
   int lose = 0;
   // Last, so that it stops first.
