End the loop before what lives on it

Cause of a segmentation fault in one of seven runs of RunnerGuardTest: a timer that is over already is not stopped by its cancellation, so that its handler ran into a guard that was gone. Entries and agents had the same fault in each of their timers while they stopped. The loop ends first now, and the guard's wait asks whether it is open.

--- a/daemon/fleet_agent.cc
+++ b/daemon/fleet_agent.cc
@@ -37,18 +37,18 @@
     : settings(settings), log(log), thread("agent") {}
 
 FleetAgent::~FleetAgent() {
-  this->thread.Call([this] {
-    if (this->guard)
-      this->guard->Close();
-    this->front = nullptr;
-    this->metrics_front = nullptr;
-    this->port = nullptr;
-    this->registration = nullptr;
-    this->guard = nullptr;
-    this->runner = nullptr;
-    this->store = nullptr;
-  });
+  // The loop ends first, so that no wait that is over already runs into an
+  // object that is gone.
   this->thread.Stop();
+  if (this->guard)
+    this->guard->Close();
+  this->front = nullptr;
+  this->metrics_front = nullptr;
+  this->port = nullptr;
+  this->registration = nullptr;
+  this->guard = nullptr;
+  this->runner = nullptr;
+  this->store = nullptr;
 }
 
 Status FleetAgent::Listen() {
--- a/daemon/fleet_entry.cc
+++ b/daemon/fleet_entry.cc
@@ -57,18 +57,17 @@
       tick_timer(this->thread.Context()) {}
 
 FleetEntry::~FleetEntry() {
-  this->thread.Call([this] {
-    this->tick_timer.cancel();
-    this->front = nullptr;
-    this->ready_front = nullptr;
-    this->metrics_front = nullptr;
-    this->port = nullptr;
-    this->planner = nullptr;
-    this->follower = nullptr;
-    this->registration = nullptr;
-    this->store = nullptr;
-  });
+  // The loop ends first, so that no wait that is over already runs into an
+  // object that is gone.
   this->thread.Stop();
+  this->front = nullptr;
+  this->ready_front = nullptr;
+  this->metrics_front = nullptr;
+  this->port = nullptr;
+  this->planner = nullptr;
+  this->follower = nullptr;
+  this->registration = nullptr;
+  this->store = nullptr;
 }
 
 Status FleetEntry::Listen() {
--- a/daemon/runner_guard.cc
+++ b/daemon/runner_guard.cc
@@ -118,8 +118,9 @@
 
 void RunnerGuard::HoldAfter(absl::Duration pause) {
   this->hold_timer.expires_after(absl::ToChronoMicroseconds(pause));
-  this->hold_timer.async_wait([this](std::error_code error) {
-    if (!error)
+  // A wait that is over already is not cancelled by Close().
+  this->hold_timer.async_wait([this, open = this->open](std::error_code error) {
+    if (!error && *open)
       this->Hold();
   });
 }
--- a/daemon/testing/runner_guard_test.cc
+++ b/daemon/testing/runner_guard_test.cc
@@ -44,12 +44,13 @@
   }
 
   ~RunnerGuardTest() override {
+    // Destroyed while the loop runs, at a moment when a wait may be over.
     this->thread.Call([this] {
       this->guard->Close();
       this->guard = nullptr;
-      this->runner = nullptr;
     });
     this->thread.Stop();
+    this->runner = nullptr;
   }
 
   template <class Condition>
