Plan large backlogs in short plans that evaluate few VMs

Cause: each plan evaluated every VM for every task that waits, and ordered all that fits in one turn of the event loop.

Change: a search visits VMs by ascending load and stops at the first whose load alone exceeds the best cost; shapes that fit nowhere are remembered within a plan; a plan orders at most 120 starts, the most urgent ones, and the next one follows after a pause of its own length; latency outlooks are computed only for VMs that are evaluated; the answer to a latency sample looks up the pairs on that VM instead of copying all pairs of the fleet.

--- a/daemon/fleet_planner.cc
+++ b/daemon/fleet_planner.cc
@@ -330,9 +330,10 @@
     for (const auto& [image, latency_ratio] : sample->latency_ratios)
       this->scheduler->AddLatencySample(node, image, latency_ratio,
                                         sample->filling_load, now);
-    this->nodes.Send(node,
-                     InterferenceNotice{this->lease.Epoch(),
-                                        this->scheduler->InterferenceOn(node)});
+    auto pairs = this->scheduler->InterferenceOn(node);
+    if (!pairs.empty())
+      this->nodes.Send(
+          node, InterferenceNotice{this->lease.Epoch(), std::move(pairs)});
     return;
   } else if (const auto* pairs = std::get_if<InterferenceNotice>(&message)) {
     this->scheduler->MergeInterference(pairs->pairs);
@@ -454,13 +455,16 @@
 
 void FleetPlanner::PlanAndSend() {
   const absl::Time plan_start = BootClock().Now();
-  this->SendOrders(this->scheduler->Plan(plan_start));
+  const Orders orders = this->scheduler->Plan(plan_start);
+  this->SendOrders(orders);
   const std::vector<StateChange> changes = this->scheduler->TakeChanges();
   if (!changes.empty())
     this->SendStates(changes);
   this->Flush();
   this->plan_pause =
       std::clamp(BootClock().Now() - plan_start, kMinPlanPause, kMaxPlanPause);
+  if (orders.more)
+    this->SchedulePlan();
 }
 
 void FleetPlanner::SendOrders(const Orders& orders) {
--- a/submission/interference_model.cc
+++ b/submission/interference_model.cc
@@ -154,6 +154,16 @@
   return this->Baseline(vm, serving, now) * slowdown;
 }
 
+std::optional<InterferenceEstimate> InterferenceModel::Find(
+    const std::string& serving,
+    const std::string& filling) const {
+  const auto found = this->coefficients.find({serving, filling});
+  if (found == this->coefficients.end())
+    return std::nullopt;
+  return InterferenceEstimate{serving, filling, found->second.value,
+                              found->second.variance};
+}
+
 std::vector<InterferenceEstimate> InterferenceModel::Export() const {
   std::vector<InterferenceEstimate> exported;
   exported.reserve(this->coefficients.size());
--- a/submission/interference_model.h
+++ b/submission/interference_model.h
@@ -25,6 +25,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -103,6 +104,10 @@
                               const FillingLoad& filling,
                               absl::Time now) const;
 
+  // Estimate of one pair; no value without samples.
+  std::optional<InterferenceEstimate> Find(const std::string& serving,
+                                           const std::string& filling) const;
+
   // Estimates of all pairs, to be sent to another process.
   std::vector<InterferenceEstimate> Export() const;
 
--- a/submission/place.cc
+++ b/submission/place.cc
@@ -6,20 +6,11 @@
 
 namespace {
 
-// Weights of the cost, in units of a fully used VM. A VM where the task failed
-// is the last choice. A VM with an expected latency ratio above the bound is
-// worse than a full one. Data on another rack makes the task take up to three
-// times as long.
-constexpr double kFailedHereWeight = 100;
+// Weights of the cost, in units of a fully used VM. A VM with an expected
+// latency ratio above the bound is worse than a full one.
 constexpr double kExcessRatioWeight = 10;
-constexpr double kOtherRackWeight = 3;
 constexpr double kSameStepWeight = 0.05;
 
-// Serving tasks of one image are packed together, so that filling tasks find
-// VMs without images that they interfere with. The weight makes a nearly full
-// VM with the same image cheaper than an empty one.
-constexpr double kOtherImageWeight = 1.5;
-
 // Baseline assumed for a serving task that has not started yet.
 constexpr double kDefaultBaseline = 0.5;
 
@@ -34,10 +25,6 @@
              std::max<int64_t>(1, worker.info.capacity.millicores));
 }
 
-double UsedShare(const Worker& worker) {
-  return ShareOf(worker.used.millicores + worker.filling_millicores, worker);
-}
-
 // Load of the filling tasks on the VM at full pace.
 FillingLoad FillingLoadOn(const Worker& worker) {
   FillingLoad filling;
@@ -59,6 +46,10 @@
 
 }  // namespace
 
+double UsedShare(const Worker& worker) {
+  return ShareOf(worker.used.millicores + worker.filling_millicores, worker);
+}
+
 void RefreshLatencyOutlooks(const InterferenceModel& interference_model,
                             absl::Time now,
                             Worker* worker) {
@@ -148,7 +139,7 @@
   }
   if (context.failed_here)
     cost += kFailedHereWeight;
-  const std::string rack = RackOf(worker.info);
+  const std::string& rack = RackOf(worker.info);
   if (!step.data_rack.empty() && rack != step.data_rack)
     cost += kOtherRackWeight;
   if (!context.rack.empty() && rack != context.rack)
--- a/submission/place.h
+++ b/submission/place.h
@@ -20,6 +20,19 @@
 
 namespace cuminjunction {
 
+// Weights of the cost, in units of a fully used VM.
+
+// A VM where the task failed is the last choice.
+inline constexpr double kFailedHereWeight = 100;
+
+// Data on another rack makes the task take up to three times as long.
+inline constexpr double kOtherRackWeight = 3;
+
+// Serving tasks of one image are packed together, so that filling tasks find
+// VMs without images that they interfere with. The weight makes a nearly full
+// VM with the same image cheaper than an empty one.
+inline constexpr double kOtherImageWeight = 1.5;
+
 // State of the task that the placement depends on, besides its step.
 struct PlacementContext {
   std::string service;
@@ -41,6 +54,10 @@
                                     const InterferenceModel& interference_model,
                                     absl::Time now);
 
+// Share of the VM's processors that its tasks have. The cost is never lower,
+// except for a serving task: by at most kOtherImageWeight.
+double UsedShare(const Worker& worker);
+
 // True if the VM may run the task, regardless of its free capacity.
 bool IsEligible(const Step& step,
                 const PlacementContext& context,
--- a/submission/scheduler.cc
+++ b/submission/scheduler.cc
@@ -32,8 +32,7 @@
     return;
   this->policy = policy;
   // A submission keeps the last configuration of a queue that was removed.
-  for (const std::string& id : this->live) {
-    ActiveSubmission* active = this->FindActive(id);
+  for (const auto& [id, active] : this->live) {
     if (const Queue* queue = policy.FindByName(active->queue.name))
       active->queue = *queue;
   }
@@ -55,9 +54,10 @@
   auto active = std::make_unique<ActiveSubmission>(
       Activate(submission, queue, progress, prior_runs, now, wall));
   const bool final = IsFinal(active->state);
+  ActiveSubmission* added = active.get();
   this->submissions[submission.id] = std::move(active);
   if (!final) {
-    this->live.insert(submission.id);
+    this->live[submission.id] = added;
     this->changes.push_back({submission.id, SubmissionState::kQueued});
   }
   if (this->cancelled_before_add.erase(submission.id) > 0)
@@ -494,12 +494,16 @@
 
 std::vector<InterferenceEstimate> Scheduler::InterferenceOn(
     const std::string& vm) const {
-  std::vector<InterferenceEstimate> pairs = this->interference_model.Export();
-  const Worker& worker = *this->workers.at(vm);
-  std::erase_if(pairs, [&](const InterferenceEstimate& pair) {
-    return !worker.serving.contains(pair.serving) ||
-           !worker.filling.contains(pair.filling);
-  });
+  std::vector<InterferenceEstimate> pairs;
+  const auto worker = this->workers.find(vm);
+  if (worker == this->workers.end())
+    return pairs;
+  for (const auto& [serving, serving_load] : worker->second->serving) {
+    for (const auto& [filling, filling_load] : worker->second->filling) {
+      if (auto estimate = this->interference_model.Find(serving, filling))
+        pairs.push_back(std::move(*estimate));
+    }
+  }
   return pairs;
 }
 
@@ -515,10 +519,9 @@
 
 std::map<std::string, uint64_t> Scheduler::WaitingCounts() const {
   std::map<std::string, uint64_t> counts;
-  for (const std::string& id : this->live) {
-    const ActiveSubmission& active = *this->submissions.at(id);
-    if (!active.started)
-      ++counts[active.queue.name];
+  for (const auto& [id, active] : this->live) {
+    if (!active->started)
+      ++counts[active->queue.name];
   }
   return counts;
 }
--- a/submission/scheduler.h
+++ b/submission/scheduler.h
@@ -29,6 +29,8 @@
 #include "submission/active.h"
 #include "submission/interference_model.h"
 #include "submission/permits.h"
+#include "submission/place.h"
+#include "submission/placement_search.h"
 #include "submission/policy.h"
 #include "submission/progress.h"
 #include "submission/types.h"
@@ -99,6 +101,11 @@
   SubmissionState state = SubmissionState::kQueued;
 };
 
+// Limit of the starts in one plan. An entry with an eighth of a processor
+// orders them in some 20 ms, so that it answers callers and renews its lease
+// between two plans also while it starts the backlog of a takeover.
+inline constexpr size_t kMaxStartsInPlan = 120;
+
 class Scheduler {
  public:
   // Replaces the configuration if `policy` has a higher version.
@@ -180,7 +187,8 @@
     this->interference_model.Merge(pairs);
   }
 
-  // Interference estimates of the pairs of images on a VM.
+  // Interference estimates of the pairs of images on a VM, of those that have
+  // samples.
   std::vector<InterferenceEstimate> InterferenceOn(const std::string& vm) const;
 
   // Handles the adviser's answer to a query, or its failure.
@@ -196,7 +204,9 @@
   // Expected duration of the adviser's answer to a query.
   absl::Duration AdviceTime(const PermitQuery& query) const;
 
-  // Returns the starts, stops and permit queries to send now.
+  // Returns the starts, stops and permit queries to send now. At most
+  // kMaxStartsInPlan starts are returned, the most urgent ones, and
+  // Orders::more is set if there may be others.
   Orders Plan(absl::Time now);
 
   // Returns the submissions whose progress must be stored. For a final state,
@@ -263,8 +273,27 @@
   void StopUnwanted(Orders* orders);
   void AddOccurrences(absl::Time now);
   std::vector<StepCandidate> CollectCandidates(absl::Time now);
-  void StartStep(StepCandidate* candidate, Orders* orders, absl::Time now);
+  // Starts tasks of the step until nothing fits or the plan is full.
+  void StartStep(StepCandidate* candidate,
+                 WorkerOrder* order,
+                 UnplaceableShapes* unplaceable,
+                 Orders* orders,
+                 absl::Time now);
   void StartGang(StepCandidate* candidate, Orders* orders, absl::Time now);
+  // Computes the worker's latency outlooks unless this plan has done so.
+  void RefreshOutlooks(Worker* worker, absl::Time now);
+  // Returns PlacementCost() with current latency outlooks.
+  std::optional<double> CostOn(Worker* worker,
+                               const Step& step,
+                               const PlacementContext& context,
+                               absl::Time now);
+  // Returns the cost of one more task of the candidate's step on the worker, or
+  // nullopt if it can't run there.
+  std::optional<double> Evaluate(const StepCandidate& candidate,
+                                 PlacementContext* context,
+                                 Worker* worker,
+                                 Orders* orders,
+                                 absl::Time now);
   // Recounts the placed tasks of the candidate's step by VM.
   void CountPlaced(StepCandidate* candidate);
   Worker* ChooseWorker(const StepCandidate& candidate,
@@ -301,8 +330,8 @@
   Permits permits;
   absl::flat_hash_map<std::string, std::unique_ptr<ActiveSubmission>>
       submissions;
-  // Ids of submissions whose state is not final.
-  std::set<std::string> live;
+  // Submissions whose state is not final, by id.
+  std::map<std::string, ActiveSubmission*> live;
   std::set<std::string> cancelled_before_add;
   // Submissions whose final state is stored, by the time when they ended.
   std::set<std::pair<absl::Time, std::string>> ended;
@@ -311,6 +340,7 @@
   std::set<std::string> dirty;
   std::vector<StateChange> changes;
   absl::Time next_move = absl::InfinitePast();
+  uint64_t plan_number = 0;
   // Runs that must be stopped: those of unknown or final submissions, stale
   // ones, and second runs of a task that is done.
   std::vector<StopOrder> unwanted;
--- a/submission/scheduler_plan.cc
+++ b/submission/scheduler_plan.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 #include "submission/place.h"
 #include "submission/scheduler.h"
@@ -56,18 +57,30 @@
   this->AddOccurrences(now);
   this->StopUnwanted(&orders);
   this->EvacuateDraining(&orders, now);
+  ++this->plan_number;
+  std::vector<Worker*> by_name;
+  by_name.reserve(this->workers.size());
   for (auto& [vm, worker] : this->workers)
-    RefreshLatencyOutlooks(this->interference_model, now, worker.get());
+    by_name.push_back(worker.get());
+  WorkerOrder order;
+  order.Reset(by_name);
+  UnplaceableShapes unplaceable;
   std::vector<StepCandidate> candidates = this->CollectCandidates(now);
   std::stable_sort(candidates.begin(), candidates.end(),
                    [](const StepCandidate& a, const StepCandidate& b) {
                      return a.rank < b.rank;
                    });
   for (StepCandidate& candidate : candidates) {
-    if (candidate.Spec().gang)
+    if (orders.starts.size() >= kMaxStartsInPlan) {
+      orders.more = true;
+      return orders;
+    }
+    if (candidate.Spec().gang) {
       this->StartGang(&candidate, &orders, now);
-    else
-      this->StartStep(&candidate, &orders, now);
+      order.Reset(by_name);
+    } else {
+      this->StartStep(&candidate, &order, &unplaceable, &orders, now);
+    }
     if (candidate.active->queue.advice.required && candidate.Slots().Idle() > 0)
       this->QueryPermits(candidate, &orders, now);
   }
@@ -109,6 +122,7 @@
   for (auto& [vm, worker] : this->workers) {
     if (!worker->synced || worker->serving.empty())
       continue;
+    this->RefreshOutlooks(worker.get(), now);
     for (auto& [task, placed] : worker->placed) {
       if (!placed.fills || !placed.checkpointed || placed.stopping ||
           now - placed.placed_at < kMinRunBeforeMove)
@@ -129,8 +143,7 @@
           this->workers.begin(), this->workers.end(), [&](const auto& other) {
             return this->TicketFor(*active, task_ref.occurrence, task_ref.step,
                                    *other.second, now) != nullptr &&
-                   PlacementCost(step, context, *other.second,
-                                 this->interference_model, now)
+                   this->CostOn(other.second.get(), step, context, now)
                        .has_value();
           });
       if (!has_better_vm)
@@ -144,8 +157,7 @@
 }
 
 void Scheduler::AddOccurrences(absl::Time now) {
-  for (const std::string& id : this->live) {
-    ActiveSubmission* active = this->FindActive(id);
+  for (const auto& [id, active] : this->live) {
     if (active->submission.scheduled)
       AddDueOccurrences(active, {}, now);
   }
@@ -168,8 +180,7 @@
 std::vector<Scheduler::StepCandidate> Scheduler::CollectCandidates(
     absl::Time now) {
   std::vector<StepCandidate> candidates;
-  for (const std::string& id : this->live) {
-    ActiveSubmission* active = this->FindActive(id);
+  for (const auto& [id, active] : this->live) {
     for (uint32_t occurrence_index = 0;
          occurrence_index < active->occurrences.size(); ++occurrence_index) {
       const OccurrenceSlots& occurrence = active->occurrences[occurrence_index];
@@ -192,6 +203,20 @@
   return candidates;
 }
 
+void Scheduler::RefreshOutlooks(Worker* worker, absl::Time now) {
+  if (std::exchange(worker->outlooks_plan, this->plan_number) !=
+      this->plan_number)
+    RefreshLatencyOutlooks(this->interference_model, now, worker);
+}
+
+std::optional<double> Scheduler::CostOn(Worker* worker,
+                                        const Step& step,
+                                        const PlacementContext& context,
+                                        absl::Time now) {
+  this->RefreshOutlooks(worker, now);
+  return PlacementCost(step, context, *worker, this->interference_model, now);
+}
+
 bool Scheduler::MayStart(const TaskSlot& slot, absl::Time now) const {
   return slot.phase == TaskPhase::kIdle && slot.not_before <= now &&
          (slot.resolved || this->unresolved.empty());
@@ -209,6 +234,20 @@
   }
 }
 
+std::optional<double> Scheduler::Evaluate(const StepCandidate& candidate,
+                                          PlacementContext* context,
+                                          Worker* worker,
+                                          Orders* orders,
+                                          absl::Time now) {
+  ++orders->evaluations;
+  if (this->TicketFor(*candidate.active, candidate.occurrence, candidate.step,
+                      *worker, now) == nullptr)
+    return std::nullopt;
+  const auto same = candidate.same_step.find(worker->vm);
+  context->same_step = same == candidate.same_step.end() ? 0 : same->second;
+  return this->CostOn(worker, candidate.Spec(), *context, now);
+}
+
 Worker* Scheduler::ChooseWorker(const StepCandidate& candidate,
                                 const TaskSlot& slot,
                                 absl::Time now,
@@ -221,15 +260,9 @@
                      now - candidate.Slots().ready_since < kMaxPlacementWait;
   Worker* best = nullptr;
   for (auto& [vm, worker] : this->workers) {
-    if (this->TicketFor(*candidate.active, candidate.occurrence, candidate.step,
-                        *worker, now) == nullptr)
-      continue;
-    const auto same = candidate.same_step.find(vm);
-    context.same_step = same == candidate.same_step.end() ? 0 : same->second;
     context.failed_here = slot.failed_vm == vm;
-    ++orders->evaluations;
-    const auto found = PlacementCost(candidate.Spec(), context, *worker,
-                                     this->interference_model, now);
+    const auto found =
+        this->Evaluate(candidate, &context, worker.get(), orders, now);
     if (found && (best == nullptr || *found < *cost)) {
       best = worker.get();
       *cost = *found;
@@ -257,8 +290,8 @@
   context.service = candidate.active->queue.service;
   std::vector<std::pair<double, const RunnerInfo*>> usable;
   for (const auto& [vm, worker] : this->workers) {
-    const auto cost = PlacementCost(candidate.Spec(), context, *worker,
-                                    this->interference_model, now);
+    const auto cost =
+        this->CostOn(worker.get(), candidate.Spec(), context, now);
     if (cost)
       usable.emplace_back(*cost, &worker->info);
     else if (IsEligible(candidate.Spec(), context, *worker, now))
@@ -280,26 +313,68 @@
 }
 
 void Scheduler::StartStep(StepCandidate* candidate,
+                          WorkerOrder* order,
+                          UnplaceableShapes* unplaceable,
                           Orders* orders,
                           absl::Time now) {
   StepSlots& slots = candidate->Slots();
-  this->CountPlaced(candidate);
+  const Step& step = candidate->Spec();
+  // A step that not every VM may run, or that may use reserved capacity, tells
+  // nothing about others.
+  const bool typical = !step.long_running && step.required_label.empty() &&
+                       step.max_per_vm == 0 &&
+                       !candidate->active->queue.advice.required;
+  PlacementContext context;
+  context.service = candidate->active->queue.service;
+  const auto evaluate = [&](Worker* worker) {
+    return this->Evaluate(*candidate, &context, worker, orders, now);
+  };
+  std::optional<PlacementSearch> search;
+  std::vector<Worker*> changed;
   for (uint32_t index = 0; index < slots.tasks.size(); ++index) {
     TaskSlot& slot = slots.tasks[index];
     if (!this->MayStart(slot, now))
       continue;
-    double cost = 0;
-    Worker* worker = this->ChooseWorker(*candidate, slot, now, &cost, orders);
-    if (worker == nullptr) {
-      if (candidate->Spec().long_running)
+    if (orders->starts.size() >= kMaxStartsInPlan) {
+      orders->more = true;
+      break;
+    }
+    const bool can_wait =
+        slots.placed > 0 || now - slots.ready_since < kMaxPlacementWait;
+    UnplaceableShapes::Shape shape{
+        context.service, step.size, step.fills,
+        step.fills && can_wait ? step.image : std::string()};
+    if (typical && unplaceable->Covers(shape))
+      break;
+    // The costs of all VMs change when the step gets its rack, and when it may
+    // wait for a VM because its first task has started.
+    if (!search || can_wait != context.can_wait ||
+        candidate->rack != context.rack) {
+      if (!search)
+        this->CountPlaced(candidate);
+      context.can_wait = can_wait;
+      context.rack = candidate->rack;
+      order->Reposition(changed);
+      search.emplace(order,
+                     step.data_rack.empty() ? context.rack : step.data_rack,
+                     step.latency_objective_ms > 0);
+    }
+    const auto choice = search->CheapestExcept(slot.failed_vm, evaluate);
+    if (!choice) {
+      if (typical)
+        unplaceable->Add(std::move(shape));
+      if (step.long_running)
         this->Preempt(*candidate, orders, now);
-      return;
+      break;
     }
-    this->OrderStart(candidate, index, worker, slot.highest_run + 1, cost,
-                     orders, now);
-    if (candidate->Spec().single_rack && candidate->rack.empty())
-      candidate->rack = RackOf(worker->info);
+    this->OrderStart(candidate, index, choice->worker, slot.highest_run + 1,
+                     choice->cost, orders, now);
+    changed.push_back(choice->worker);
+    search->OnPlaced(*choice, evaluate);
+    if (step.single_rack && candidate->rack.empty())
+      candidate->rack = RackOf(choice->worker->info);
   }
+  order->Reposition(changed);
 }
 
 void Scheduler::StartGang(StepCandidate* candidate,
@@ -358,7 +433,7 @@
   TaskSlot& slot = candidate->Slots().tasks[index];
   const TaskRef task = candidate->Task(index);
   this->Place(active, task, &slot, worker, run, now);
-  RefreshLatencyOutlooks(this->interference_model, now, worker);
+  worker->outlooks_plan = 0;
   ++candidate->same_step[worker->vm];
   orders->starts.push_back({worker->vm, task, run, &active->submission.text,
                             &candidate->Spec(), slot.checkpoint,
--- a/submission/worker.cc
+++ b/submission/worker.cc
@@ -52,8 +52,9 @@
   worker->placed.erase(found);
 }
 
-std::string RackOf(const RunnerInfo& info) {
-  return info.labels.size() > 1 ? info.labels[1] : "";
+const std::string& RackOf(const RunnerInfo& info) {
+  static const std::string none;
+  return info.labels.size() > 1 ? info.labels[1] : none;
 }
 
 }  // namespace cuminjunction
--- a/submission/worker.h
+++ b/submission/worker.h
@@ -75,6 +75,8 @@
   std::map<std::string, ImageLoad> filling;
   // By serving image; see RefreshLatencyOutlooks().
   std::vector<LatencyOutlook> latency_outlooks;
+  // Number of the plan in which they were computed.
+  uint64_t outlooks_plan = 0;
   // Capacity reserved for a long-running task while other tasks are being
   // stopped to make space for it.
   Size reserved;
@@ -93,7 +95,7 @@
 
 // The label of the runner that names its rack, or empty. The labels are the
 // runner's kind and its rack, in this order.
-std::string RackOf(const RunnerInfo& info);
+const std::string& RackOf(const RunnerInfo& info);
 
 }  // namespace cuminjunction
 
