Let entries with more of a processor plan

Cause: any entry may claim the lease, and entries differ four times in their share of a processor and ten times in their link.

Change: an entry leaves a free lease to others for 30 ms divided by its share of a processor, at most 250 ms; without a lease row, at the first start, four times as long. An entry that finds its own lease of before a restart takes it at once, as before. The share comes from the settings template (fleet.processor_share).

--- a/daemon/fleet_entry.cc
+++ b/daemon/fleet_entry.cc
@@ -80,8 +80,9 @@
   this->store =
       std::make_unique<Store>(context, StoreOptions{fleet.store, kFleetPart});
   this->planner = std::make_unique<FleetPlanner>(
-      context, this->store.get(), this->settings.name, this->Retention(),
-      this->log, &this->metrics);
+      context, this->store.get(), this->settings.name,
+      ClaimDelay(fleet.processor_share), this->Retention(), this->log,
+      &this->metrics);
   this->port = std::make_unique<PlannerPort>(
       &this->thread, this->settings.name, this->log,
       PlannerPortHandlers{
--- a/daemon/fleet_planner.h
+++ b/daemon/fleet_planner.h
@@ -5,7 +5,7 @@
 // entry plans, loads the state from the store, connects to all processes and
 // carries out the Scheduler's decisions.
 //
-//   FleetPlanner planner(&context, &store, "front-1", retention, &log,
+//   FleetPlanner planner(&context, &store, "front-1", delay, retention, &log,
 //                        &metrics);
 //   planner.SetPolicy(policy);
 //   planner.Tick(view);   // every 100 ms, with the entry's PlannerView
@@ -66,11 +66,13 @@
 
 class FleetPlanner {
  public:
-  // The pointers must outlive this object. The rows of a submission are removed
-  // `retention` after it has ended.
+  // The pointers must outlive this object. `claim_delay` is the result of
+  // ClaimDelay(). The rows of a submission are removed `retention` after it has
+  // ended.
   FleetPlanner(boost::asio::io_context* context,
                Store* store,
                const std::string& vm,
+               absl::Duration claim_delay,
                absl::Duration retention,
                Log* log,
                Metrics* metrics);
--- a/daemon/planner_lease.cc
+++ b/daemon/planner_lease.cc
@@ -1,5 +1,6 @@
 #include "daemon/planner_lease.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/time.h"
@@ -33,15 +34,29 @@
 // entries, and the lease row counts twice: as a put and as an expectation.
 constexpr size_t kMaxRowsPerCommit = 90;
 
+// Claim delay of an entry with a whole processor, and the longest one.
+constexpr absl::Duration kBaseClaimDelay = absl::Milliseconds(30);
+constexpr absl::Duration kMaxClaimDelay = absl::Milliseconds(250);
+
+// Without a lease row the system starts for the first time. Its processes start
+// within some 300 ms of each other, and nothing waits for a planner yet.
+constexpr int kFirstStartFactor = 4;
+
 }  // namespace
 
+absl::Duration ClaimDelay(double processor_share) {
+  return std::min(kMaxClaimDelay, kBaseClaimDelay / processor_share);
+}
+
 PlannerLease::PlannerLease(boost::asio::io_context* context,
                            Store* store,
                            std::string holder,
+                           absl::Duration claim_delay,
                            Log* log,
                            PlannerLeaseHandlers handlers)
     : store(store),
       holder(std::move(holder)),
+      claim_delay(claim_delay),
       log(log),
       handlers(std::move(handlers)),
       timer(*context) {}
@@ -102,11 +117,25 @@
       this->claiming = false;
       return;
     }
+    if (!is_own_row && !this->HasWaited(found.version, now)) {
+      this->claiming = false;
+      return;
+    }
+  } else if (!this->HasWaited(0, now)) {
+    this->claiming = false;
+    return;
   }
   this->row = {current.epoch + 1, this->holder, 1, false};
   this->SendClaim();
 }
 
+bool PlannerLease::HasWaited(int64_t free_version, absl::Time now) {
+  if (!this->first_free || this->first_free->version != free_version)
+    this->first_free = Observation{free_version, now};
+  const int factor = free_version == 0 ? kFirstStartFactor : 1;
+  return now - this->first_free->first_seen >= this->claim_delay * factor;
+}
+
 void PlannerLease::SendClaim() {
   StoreCommit claim;
   claim.expects = {{kLeaseTable, kLeaseKey, this->version}};
@@ -115,6 +144,7 @@
   this->store->Commit(claim, kCallTimeout, [this, sent](CommitReply&& reply) {
     this->claiming = false;
     this->observed.reset();
+    this->first_free.reset();
     int64_t lease_version = reply.version;
     if (reply.error == PlatformError::kConflict) {
       // An earlier claim of this process may have been carried out late.
--- a/daemon/planner_lease.h
+++ b/daemon/planner_lease.h
@@ -50,6 +50,12 @@
 // running. The platform's `leaseMs` is 3 s on each site.
 inline constexpr absl::Duration kLeasePeriod = absl::Seconds(3);
 
+// Time for which an entry that could claim the lease leaves it to others. An
+// entry with a small part of a processor waits longer, since its plans and its
+// answers to 200 processes take longer; it still plans when the others are
+// gone. At most 250 ms.
+absl::Duration ClaimDelay(double processor_share);
+
 struct PlannerLeaseHandlers {
   // The lease was claimed, and is held under this epoch.
   std::function<void(uint64_t epoch)> on_claimed;
@@ -59,10 +65,12 @@
 
 class PlannerLease {
  public:
-  // `context`, `store` and `log` must outlive this object.
+  // `context`, `store` and `log` must outlive this object. `claim_delay` is the
+  // result of ClaimDelay().
   PlannerLease(boost::asio::io_context* context,
                Store* store,
                std::string holder,
+               absl::Duration claim_delay,
                Log* log,
                PlannerLeaseHandlers handlers);
 
@@ -70,7 +78,8 @@
   // row has not changed between two calls that are far enough apart, was
   // released, names this holder (an earlier process of this VM), or has the
   // epoch `failing_epoch`, whose planner reported that its commits fail. 0
-  // means that no planner has reported this. Does nothing while a claim is
+  // means that no planner has reported this. Unless the row names this holder,
+  // this must have been so for the claim delay. Does nothing while a claim is
   // under way.
   void Claim(uint64_t failing_epoch);
 
@@ -119,6 +128,9 @@
   };
 
   void OnRead(RowsReply&& reply, uint64_t failing_epoch);
+  // Returns true once the lease with this row version, 0 for none, has been
+  // free for the claim delay.
+  bool HasWaited(int64_t free_version, absl::Time now);
   void SendClaim();
   void ScheduleCommit();
   void SendCommit();
@@ -131,10 +143,13 @@
 
   Store* store;
   std::string holder;
+  absl::Duration claim_delay;
   Log* log;
   PlannerLeaseHandlers handlers;
   boost::asio::steady_timer timer;
   std::optional<Observation> observed;
+  // When this process first could have claimed the lease.
+  std::optional<Observation> first_free;
   absl::Time predecessor_last_commit = absl::InfinitePast();
   bool claiming = false;
   bool held = false;
--- a/daemon/settings.cc
+++ b/daemon/settings.cc
@@ -119,6 +119,8 @@
       map.Int("stop_grace_ms", fleet.stop_grace_ms, 1000, 600000);
   fleet.state_retention_ms = map.Int(
       "state_retention_ms", fleet.state_retention_ms, 1, kMaxRetentionMs);
+  fleet.processor_share =
+      map.Double("processor_share", fleet.processor_share, 0.001, 1024);
   map.Finish();
   return fleet;
 }
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -95,6 +95,8 @@
   // How long callers may ask for the state of a submission that has ended. The
   // platform's `status_s` is 120 s on each site.
   int64_t state_retention_ms = 120000;
+  // Part of a processor that the process has (entry).
+  double processor_share = 1;
 
   bool operator==(const FleetSettings&) const = default;
   bool IsSet() const { return this->store.port != 0; }
--- a/daemon/testing/planner_lease_test.cc
+++ b/daemon/testing/planner_lease_test.cc
@@ -21,9 +21,11 @@
         &this->context, StoreOptions{this->standin->Address(), kFleetPart});
   }
 
-  std::unique_ptr<PlannerLease> MakeLease(const std::string& holder) {
+  std::unique_ptr<PlannerLease> MakeLease(
+      const std::string& holder,
+      absl::Duration claim_delay = absl::ZeroDuration()) {
     return std::make_unique<PlannerLease>(
-        &this->context, this->store.get(), holder, &this->log,
+        &this->context, this->store.get(), holder, claim_delay, &this->log,
         PlannerLeaseHandlers{.on_claimed = [](uint64_t) {},
                              .on_lease_lost = [] {}});
   }
@@ -87,5 +89,27 @@
   EXPECT_FALSE(second->IsHeld());
 }
 
+// Guards against a planner that is too slow for a large fleet: entries with
+// more of a processor get the first chance to claim a free lease. On
+// kowhai-coop-grown three entries with an eighth of a processor lost the lease
+// one after another within 4 s.
+TEST_F(PlannerLeaseTest, AnEntryWithLittleProcessorLeavesAFreeLeaseToOthers) {
+  EXPECT_GT(ClaimDelay(0.12), ClaimDelay(0.5));
+  EXPECT_EQ(ClaimDelay(0.001), absl::Milliseconds(250));
+  const auto slow = this->MakeLease("front-1", absl::Hours(1));
+  this->ClaimOnce(slow.get());
+  EXPECT_FALSE(slow->IsHeld());
+  const auto fast = this->MakeLease("front-2");
+  this->ClaimOnce(fast.get());
+  EXPECT_TRUE(fast->IsHeld());
+  this->ClaimOnce(slow.get(), fast->Epoch());
+  EXPECT_FALSE(slow->IsHeld());
+  // Its own lease of before a restart, which nobody else may claim at once, is
+  // not delayed.
+  const auto restarted = this->MakeLease("front-2", absl::Hours(1));
+  this->ClaimOnce(restarted.get());
+  EXPECT_TRUE(restarted->IsHeld());
+}
+
 }  // namespace
 }  // namespace cuminjunction
--- a/submission/placement_search.cc
+++ b/submission/placement_search.cc
@@ -10,7 +10,7 @@
 
 }  // namespace
 
-void WorkerOrder::Reset(std::vector<Worker*> workers) {
+void WorkerOrder::Reset(const std::vector<Worker*>& workers) {
   this->entries.clear();
   this->entries.reserve(workers.size());
   for (Worker* worker : workers)
--- a/submission/placement_search.h
+++ b/submission/placement_search.h
@@ -45,7 +45,7 @@
   };
 
   // Sorts these workers. Workers of equal load keep their order.
-  void Reset(std::vector<Worker*> workers);
+  void Reset(const std::vector<Worker*>& workers);
 
   // Moves workers whose load has grown to their new places.
   void Reposition(const std::vector<Worker*>& changed);
