Read the wall clock from the system

Change: SystemClock reads CLOCK_REALTIME at each call, and everything that submissions depend on uses it: due times, acceptance, ends, fences and logs. A stopping entry measures its grace on the boot clock.

Also: a worker that becomes vacant while it is connected is cleared by its next message; before, it stayed without grants until it reconnected (found by reading). What it reports is handled after the submissions that it names have been read.

--- a/base/log.cc
+++ b/base/log.cc
@@ -16,7 +16,6 @@
 #include <thread>
 
 #include "absl/synchronization/mutex.h"
-#include "absl/time/clock.h"
 #include "absl/time/time.h"
 #include "base/log_limit.h"
 #include "base/strings.h"
@@ -103,7 +102,8 @@
 
 LogLine::LogLine(std::string_view event, LogLevel level) : event(event) {
   this->text.reserve(256);
-  StrAppend(&this->text, "{\"time_us\":", absl::ToUnixMicros(absl::Now()),
+  StrAppend(&this->text,
+            "{\"time_us\":", absl::ToUnixMicros(SystemClock().Now()),
             ",\"level\":\"", LevelName(level), "\",\"event\":");
   AppendJsonString(event, &this->text);
 }
--- a/base/time.h
+++ b/base/time.h
@@ -20,10 +20,13 @@
   { clock.Now() } -> std::same_as<absl::Time>;
 };
 
-// The wall clock of this VM, within 250 ms of the clocks of other VMs.
+// The wall clock of this VM, within 250 ms of the clocks of other VMs. It is
+// read from the system at each call: absl::Now() extrapolates from a cycle
+// counter, which is off by up to a second after the VM was suspended or its
+// clock was set.
 class SystemClock {
  public:
-  absl::Time Now() const { return absl::Now(); }
+  absl::Time Now() const;
 };
 
 // A clock that never jumps. Its points in time have no meaning on another VM;
--- a/daemon/fleet_entry.cc
+++ b/daemon/fleet_entry.cc
@@ -172,9 +172,10 @@
   std::this_thread::sleep_for(kNotReadyGrace);
   this->thread.Call([this] { this->front->StopListening(); });
   const absl::Time answer_deadline =
-      absl::Now() + absl::Milliseconds(this->settings.fleet.stop_grace_ms) -
+      BootClock().Now() +
+      absl::Milliseconds(this->settings.fleet.stop_grace_ms) -
       absl::FromChrono(kNotReadyGrace + 2 * kFinalAnswersGrace);
-  while (absl::Now() < answer_deadline &&
+  while (BootClock().Now() < answer_deadline &&
          this->thread.Call([this] { return this->front->OpenCount(); }) > 0)
     std::this_thread::sleep_for(std::chrono::milliseconds(20));
   std::this_thread::sleep_for(kFinalAnswersGrace);
--- a/daemon/fleet_entry_submit.cc
+++ b/daemon/fleet_entry_submit.cc
@@ -55,7 +55,7 @@
   pending->submission.id = id;
   pending->submission.queue = queue.name;
   pending->unresolved = this->unresolved_ids.contains(id);
-  pending->submission.accepted_ms = absl::ToUnixMillis(absl::Now());
+  pending->submission.accepted_ms = absl::ToUnixMillis(SystemClock().Now());
   pending->deadline =
       BootClock().Now() +
       absl::Milliseconds(CallerPatienceMs(exchange->headers)
--- a/daemon/fleet_planner.cc
+++ b/daemon/fleet_planner.cc
@@ -263,6 +263,9 @@
                                 FleetMessage* message) {
   bool all_known = !this->deferred.contains(node);
   if (this->vacant.Contains(node)) {
+    // A worker can become vacant while it is connected: its grants have expired
+    // because none could be made.
+    this->ClearVacancy(node);
     this->deferred[node].push_back(std::move(*message));
     return true;
   }
@@ -350,7 +353,7 @@
     // it.
     this->scheduler->Add(accepted->submission, std::nullopt,
                          UnresolvedRunsBefore(this->lease.Epoch()), now,
-                         absl::Now());
+                         SystemClock().Now());
   } else if (const auto* request = std::get_if<StoreRequest>(&message)) {
     this->OnStoreRequest(node, *request);
   } else if (const auto* cancelled = std::get_if<CancelledNotice>(&message)) {
@@ -375,7 +378,7 @@
     else
       this->scheduler->Add(request.submission, std::nullopt,
                            UnresolvedRunsBefore(this->lease.Epoch()),
-                           BootClock().Now(), absl::Now());
+                           BootClock().Now(), SystemClock().Now());
     this->nodes.Send(node, StoreDone{this->lease.Epoch(), request.number});
     this->SchedulePlan();
   });
@@ -439,8 +442,8 @@
     if (!this->vacant.OnRemoved(node))
       return;
     this->nodes.PingNow(node);
-    if (!this->reading_submissions)
-      this->HandleDeferredMessages();
+    if (this->deferred.contains(node))
+      this->ReadUnknownSubmissions();
   });
 }
 
@@ -552,8 +555,9 @@
     }
     // The rows of a large commit are written in several steps, so the progress
     // row may be removed only once the final state is stored.
-    puts.push_back({kSubmissionTable, id,
-                    Encode(this->scheduler->EndedRow(id, absl::Now()))});
+    puts.push_back(
+        {kSubmissionTable, id,
+         Encode(this->scheduler->EndedRow(id, SystemClock().Now()))});
     finished.push_back({id, progress.state});
   }
   if (!dirty.empty())
--- a/daemon/fleet_planner_load.cc
+++ b/daemon/fleet_planner_load.cc
@@ -110,7 +110,7 @@
 
 void FleetPlanner::OnLoaded(const LoadedRows& rows) {
   const absl::Time now = BootClock().Now();
-  const absl::Time wall = absl::Now();
+  const absl::Time wall = SystemClock().Now();
   this->scheduler = std::make_unique<Scheduler>();
   this->scheduler->SetPolicy(this->policy);
   std::map<std::string, Progress> progress;
@@ -277,14 +277,14 @@
   }
   const absl::Time now = BootClock().Now();
   if (IsFinal(stored.value().final_state)) {
-    this->AddEnded(stored.value(), now, absl::Now());
+    this->AddEnded(stored.value(), now, SystemClock().Now());
     return;
   }
   // The entry may have announced the submission to an earlier planner, which
   // may still reach a worker that this one does not reach.
   this->scheduler->Add(stored.value().submission, std::nullopt,
                        UnresolvedRunsBefore(this->lease.Epoch()), now,
-                       absl::Now());
+                       SystemClock().Now());
 }
 
 void FleetPlanner::AddEnded(const SubmissionRow& row,
--- a/daemon/incarnation.cc
+++ b/daemon/incarnation.cc
@@ -1,12 +1,12 @@
 #include "daemon/incarnation.h"
 
-#include "absl/time/clock.h"
 #include "base/strings.h"
+#include "base/time.h"
 
 namespace cuminjunction {
 
 uint64_t MakeIncarnation() {
-  return static_cast<uint64_t>(absl::ToUnixMillis(absl::Now()));
+  return static_cast<uint64_t>(absl::ToUnixMillis(SystemClock().Now()));
 }
 
 std::string UniqueProcessName(const Settings& settings, uint64_t incarnation) {
--- a/daemon/runner_guard.cc
+++ b/daemon/runner_guard.cc
@@ -65,7 +65,7 @@
       lost_total(metrics->GetCounter("runner_lost_total")),
       start_seconds(metrics->GetHistogram("agent_start_seconds")),
       renewal_timer(*context),
-      fence(absl::ToUnixMillis(absl::Now())),
+      fence(absl::ToUnixMillis(SystemClock().Now())),
       // A previous agent on this VM may have sent the longest lease just now.
       lease_expiry(BootClock().Now() + options.max_lease / kRunnerClockRate) {}
 
@@ -271,8 +271,8 @@
 }
 
 void RunnerGuard::RaiseFence() {
-  this->fence =
-      std::max(this->fence + kFenceStepMs, absl::ToUnixMillis(absl::Now()));
+  this->fence = std::max(this->fence + kFenceStepMs,
+                         absl::ToUnixMillis(SystemClock().Now()));
   this->log->Write(LogLine("fence_raised").Add("fence", this->fence));
 }
 
