Survive malformed submissions and reused addresses

A submission row without steps beside a progress row ended the planner by a division by zero, and a progress row with too many steps was read out of bounds. (2) The row of a VM that has left stays in the node table. If another VM has its address, the planner took the answering process for the VM of the row: it booked that VM's report under the name that has left, placed tasks there and never completed them, and the two connections closed one another.

Change: IsWellFormed() bounds tasks over all occurrences (100,000), amounts and dependencies; bodies, rows and messages are checked with it. Progress beyond the steps is ignored. A process that names itself differently from its row is left alone until that row changes, and nothing is taken from a process that has not named itself.

--- a/daemon/fleet_planner.cc
+++ b/daemon/fleet_planner.cc
@@ -351,9 +351,7 @@
   } else if (const auto* accepted = std::get_if<AcceptedNotice>(&message)) {
     // An earlier planner may already have read it from the table and started
     // it.
-    this->scheduler->Add(accepted->submission, std::nullopt,
-                         UnresolvedRunsBefore(this->lease.Epoch()), now,
-                         SystemClock().Now());
+    this->AddSubmission(accepted->submission, std::nullopt);
   } else if (const auto* request = std::get_if<StoreRequest>(&message)) {
     this->OnStoreRequest(node, *request);
   } else if (const auto* cancelled = std::get_if<CancelledNotice>(&message)) {
@@ -376,9 +374,7 @@
     if (request.cancel)
       this->scheduler->Cancel(request.submission.id);
     else
-      this->scheduler->Add(request.submission, std::nullopt,
-                           UnresolvedRunsBefore(this->lease.Epoch()),
-                           BootClock().Now(), SystemClock().Now());
+      this->AddSubmission(request.submission, std::nullopt);
     this->nodes.Send(node, StoreDone{this->lease.Epoch(), request.number});
     this->SchedulePlan();
   });
--- a/daemon/fleet_planner.h
+++ b/daemon/fleet_planner.h
@@ -25,6 +25,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -123,6 +124,9 @@
   void ReconcileFromFeeds(absl::Time now);
   void ReconcileTable(const std::string& table);
   void AddSubmissionRow(const StoreRow& row);
+  // Adds a submission of which an earlier planner may have started tasks.
+  void AddSubmission(const Submission& submission,
+                     const std::optional<Progress>& progress);
   void AddEnded(const SubmissionRow& row, absl::Time now, absl::Time wall);
   void RemoveExpiredSubmissions(absl::Time now);
   void OnNodeMessage(const std::string& vm, FleetMessage&& message);
--- a/daemon/fleet_planner_load.cc
+++ b/daemon/fleet_planner_load.cc
@@ -142,8 +142,7 @@
     std::optional<Progress> stored_progress;
     if (found_progress != progress.end())
       stored_progress = found_progress->second;
-    this->scheduler->Add(submission, stored_progress,
-                         UnresolvedRunsBefore(this->lease.Epoch()), now, wall);
+    this->AddSubmission(submission, stored_progress);
   }
   for (const StoreRow& row : rows_of(kCancellationTable))
     this->scheduler->Cancel(row.key);
@@ -275,16 +274,22 @@
                          .Add("error", stored.error()));
     return;
   }
-  const absl::Time now = BootClock().Now();
   if (IsFinal(stored.value().final_state)) {
-    this->AddEnded(stored.value(), now, SystemClock().Now());
+    this->AddEnded(stored.value(), BootClock().Now(), SystemClock().Now());
     return;
   }
   // The entry may have announced the submission to an earlier planner, which
   // may still reach a worker that this one does not reach.
-  this->scheduler->Add(stored.value().submission, std::nullopt,
-                       UnresolvedRunsBefore(this->lease.Epoch()), now,
-                       SystemClock().Now());
+  this->AddSubmission(stored.value().submission, std::nullopt);
+}
+
+void FleetPlanner::AddSubmission(const Submission& submission,
+                                 const std::optional<Progress>& progress) {
+  if (!this->scheduler->Add(submission, progress,
+                            UnresolvedRunsBefore(this->lease.Epoch()),
+                            BootClock().Now(), SystemClock().Now()))
+    this->log->Write(LogLine("submission_malformed", LogLevel::kError)
+                         .Add("submission", submission.id));
 }
 
 void FleetPlanner::AddEnded(const SubmissionRow& row,
--- a/daemon/planner_nodes.cc
+++ b/daemon/planner_nodes.cc
@@ -59,8 +59,11 @@
 
 void PlannerNodes::Add(const std::string& vm, const NodeRow& row) {
   Node& node = this->nodes[vm];
-  if (node.row.address == row.address)
+  if (node.row.address == row.address) {
+    if (node.retry_at == absl::InfiniteFuture())
+      node.retry_at = absl::InfinitePast();
     return;
+  }
   node.row = row;
   if (node.link)
     this->Disconnect(vm, &node,
@@ -154,7 +157,8 @@
   node.last_received = BootClock().Now();
   if (const auto* pong = std::get_if<NodePong>(&message))
     this->OnPong(vm, &node, *pong);
-  else
+  // A process that has not named itself by a pong may be another one.
+  else if (node.answered)
     this->handlers.on_message(vm, std::move(message));
   return Ok();
 }
@@ -168,6 +172,22 @@
                       [this] { this->handlers.on_higher_epoch(); });
     return;
   }
+  if (pong.vm != vm) {
+    // The VM of the row has gone, and its address belongs to another one now.
+    this->log->Write(LogLine("node_address_reused", LogLevel::kWarning)
+                         .Add("node", vm)
+                         .Add("answered_by", pong.vm));
+    // Posted, since the connection is being read.
+    boost::asio::post(*this->context, [this, vm] {
+      const auto found = this->nodes.find(vm);
+      if (found == this->nodes.end())
+        return;
+      this->Disconnect(vm, &found->second,
+                       std::make_error_code(std::errc::address_in_use));
+      found->second.retry_at = absl::InfiniteFuture();
+    });
+    return;
+  }
   const bool first_answer = !std::exchange(node->answered, true);
   node->timestamp_us = pong.timestamp_us;
   node->store_unreachable = pong.store_unreachable;
--- a/daemon/planner_nodes.h
+++ b/daemon/planner_nodes.h
@@ -93,6 +93,7 @@
     bool answered = false;
     // When the connection was started or the last frame arrived.
     absl::Time last_received;
+    // Infinite future while another VM has the address.
     absl::Time retry_at = absl::InfinitePast();
     absl::Time last_ping_sent = absl::InfinitePast();
     // Latest NodePong::timestamp_us on this connection; 0 for none.
--- a/daemon/testing/fleet_log_test.cc
+++ b/daemon/testing/fleet_log_test.cc
@@ -243,5 +243,60 @@
   EXPECT_EQ(this->ledger.Violations(), 0);
 }
 
+// Guards against a VM that has left and is used again after a restart: its row
+// stays, and its address may belong to another VM. The planner took that VM's
+// agent for two and closed the connection of one to open that of the other.
+TEST_F(FleetLogTest, AnAddressThatBelongsToAnotherVmNowIsLeftAlone) {
+  auto runner = std::move(
+      RunnerStandin::Start(&this->ledger, absl::Milliseconds(50)).value());
+  const Settings entry_settings = this->EntrySettings("entry-1");
+  const Settings agent_settings = this->AgentSettings("agent-1", *runner);
+  this->store->Put(
+      "node", "fleet", "agent-0",
+      Encode(NodeRow{{"127.0.0.1", agent_settings.listen.peer_port}, true}));
+  auto agent = FleetAgent::Start(agent_settings, &this->log);
+  ASSERT_EQ(this->SendHeartbeat(agent_settings, *runner), 200);
+  auto entry = FleetEntry::Start(entry_settings, this->file.get());
+  ASSERT_TRUE(this->WaitUntilReady(entry_settings));
+  ASSERT_TRUE(this->WaitForLine(
+      {{"event", "node_address_reused"}, {"node", "agent-0"}}));
+  for (const char* id : {"00000000000000c1", "00000000000000c2"}) {
+    ASSERT_TRUE(this->Submit(entry_settings, id, kOneTask));
+    EXPECT_TRUE(this->WaitForState(entry_settings, id, "completed"));
+  }
+  EXPECT_EQ(this->Lines({{"event", "node_address_reused"}}).size(), 1u);
+  EXPECT_LE(this->Lines({{"event", "node_lost"}, {"node", "agent-1"}}).size(),
+            1u);
+  EXPECT_TRUE(
+      this->Lines({{"event", "worker_reported"}, {"vm", "agent-0"}}).empty());
+}
+
+// Guards against a row that ends every planner that reads it: a submission
+// without steps beside a progress row was divided by zero.
+TEST_F(FleetLogTest, AMalformedRowDoesNotEndThePlanner) {
+  auto runner = std::move(
+      RunnerStandin::Start(&this->ledger, absl::Milliseconds(50)).value());
+  const Settings entry_settings = this->EntrySettings("entry-1");
+  const Settings agent_settings = this->AgentSettings("agent-1", *runner);
+  const std::string damaged = "00000000000000d1";
+  Submission submission;
+  submission.id = damaged;
+  submission.queue = "plans";
+  this->store->Put("submission", "fleet", damaged,
+                   Encode(SubmissionRow{submission}));
+  Progress progress;
+  progress.state = SubmissionState::kRunning;
+  progress.done = {"x", "y"};
+  this->store->Put("progress", "fleet", damaged, Encode(progress));
+  auto entry = FleetEntry::Start(entry_settings, this->file.get());
+  auto agent = FleetAgent::Start(agent_settings, &this->log);
+  ASSERT_EQ(this->SendHeartbeat(agent_settings, *runner), 200);
+  ASSERT_TRUE(this->WaitForLine(
+      {{"event", "submission_malformed"}, {"submission", damaged}}));
+  ASSERT_TRUE(this->WaitUntilReady(entry_settings));
+  ASSERT_TRUE(this->Submit(entry_settings, kSubmissionId, kOneTask));
+  EXPECT_TRUE(this->WaitForState(entry_settings, kSubmissionId, "completed"));
+}
+
 }  // namespace
 }  // namespace cuminjunction
--- a/submission/active.cc
+++ b/submission/active.cc
@@ -54,6 +54,9 @@
 void ApplyDone(ActiveSubmission* active, const std::vector<std::string>& done) {
   const size_t steps = active->submission.steps.size();
   for (size_t number = 0; number < done.size(); ++number) {
+    // A damaged row may name more steps than there are.
+    if (number / steps >= active->occurrences.size())
+      return;
     OccurrenceSlots& occurrence = active->occurrences[number / steps];
     StepSlots& step = occurrence.steps[number % steps];
     for (size_t index = 0; index < step.tasks.size(); ++index) {
@@ -134,7 +137,10 @@
     return active;
   }
   const size_t stored =
-      progress ? progress->done.size() / submission.steps.size() : 0;
+      progress
+          ? std::min<size_t>(progress->done.size() / submission.steps.size(),
+                             submission.occurrences)
+          : 0;
   while (active.occurrences.size() < stored)
     active.occurrences.push_back(MakeOccurrence(
         active, static_cast<uint32_t>(active.occurrences.size()), prior_runs));
@@ -238,10 +244,9 @@
     longest_total_ms = std::max(longest_total_ms, total_ms[step_index]);
     longest_remaining_ms =
         std::max(longest_remaining_ms, remaining_ms[step_index]);
-    inputs.remaining_work +=
-        static_cast<double>(unfinished * step.size.millicores *
-                            step.estimate_ms) /
-        1000.0;
+    inputs.remaining_work += static_cast<double>(unfinished) *
+                             static_cast<double>(step.size.millicores) *
+                             static_cast<double>(step.estimate_ms) / 1000.0;
   }
   inputs.long_running = active.long_running;
   inputs.priority = active.queue.priority;
--- a/submission/scheduler.cc
+++ b/submission/scheduler.cc
@@ -38,13 +38,15 @@
   }
 }
 
-void Scheduler::Add(const Submission& submission,
+bool Scheduler::Add(const Submission& submission,
                     const std::optional<Progress>& progress,
                     PriorRuns prior_runs,
                     absl::Time now,
                     absl::Time wall) {
   if (this->submissions.contains(submission.id))
-    return;
+    return true;
+  if (!IsWellFormed(submission))
+    return false;
   const Queue* found = this->policy.FindByName(submission.queue);
   Queue queue;
   if (found != nullptr)
@@ -62,6 +64,7 @@
   }
   if (this->cancelled_before_add.erase(submission.id) > 0)
     this->Cancel(submission.id);
+  return true;
 }
 
 void Scheduler::AddEnded(const std::string& id,
--- a/submission/scheduler.h
+++ b/submission/scheduler.h
@@ -111,9 +111,10 @@
   // Replaces the configuration if `policy` has a higher version.
   void SetPolicy(const FleetPolicy& policy);
 
-  // Adds a submission unless it is already present. `now` is of the boot clock,
-  // as in all methods, and `wall` of the system clock, at the same moment.
-  void Add(const Submission& submission,
+  // Adds a submission unless it is already present. Returns false, and adds
+  // nothing, if it is not well-formed. `now` is of the boot clock, as in all
+  // methods, and `wall` of the system clock, at the same moment.
+  bool Add(const Submission& submission,
            const std::optional<Progress>& progress,
            PriorRuns prior_runs,
            absl::Time now,
--- a/submission/testing/scheduler_test.cc
+++ b/submission/testing/scheduler_test.cc
@@ -618,5 +618,23 @@
   EXPECT_TRUE(this->scheduler.ExpireGrants(this->now).empty());
 }
 
+// Guards against rows and messages of another writer that end a planner.
+TEST_F(SchedulerTest, MalformedSubmissionsAreNotAdded) {
+  const auto added = [&](const Submission& submission) {
+    Progress progress;
+    progress.done = {"x", "x", "x"};
+    return this->scheduler.Add(submission, progress, {}, this->now, this->now);
+  };
+  EXPECT_FALSE(added(MakeSubmission("00000000000000f1", {})));
+  Step dependent = MakeStep(1, 500);
+  dependent.after = {7};
+  EXPECT_FALSE(added(MakeSubmission("00000000000000f2", {dependent})));
+  EXPECT_FALSE(
+      added(MakeSubmission("00000000000000f3", {MakeStep(4000000000, 500)})));
+  EXPECT_EQ(this->scheduler.LiveCount(), 0u);
+  // Progress of more steps than there are is cut off.
+  EXPECT_TRUE(added(MakeSubmission(kId, {MakeStep(8, 500), MakeStep(8, 500)})));
+}
+
 }  // namespace
 }  // namespace cuminjunction
--- a/submission/types.h
+++ b/submission/types.h
@@ -99,6 +99,21 @@
   }
 };
 
+// Bounds that keep one submission from filling the memory of a planner: it has
+// 150 bytes for each task of each occurrence, and may have 160 MB.
+inline constexpr size_t kMaxSteps = 1000;
+inline constexpr int64_t kMaxTaskRuns = 100000;
+
+// Bound of sizes, and of times in milliseconds since 1970, so that sums over a
+// submission can't overflow.
+inline constexpr int64_t kMaxAmount = 1'000'000'000'000'000;
+
+// True if the submission can be planned: it has tasks, at most kMaxTaskRuns
+// over all occurrences, no step depends on itself or a later one, and all
+// amounts are in bounds. Rows and messages are checked with it as well as what
+// callers hand in, since a planner that fails on a row fails at each restart.
+bool IsWellFormed(const Submission& submission);
+
 // Identifies one task.
 struct TaskRef {
   std::string submission;
