Start new submissions without waiting for silent workers

Cause: after a takeover every submission waited until all workers of the earlier planner had reported or lost their grants, 7.6 to 12 s if one stays silent, also those that were handed in after the earlier planner had ended.

Change: a planner adds no submission while its commits fail, that is 1.3 s after the last successful one was sent. What was stored later than that cannot have been started by it. The new planner takes the store's version after that time (PriorStarts) and resolves submissions of rows with a higher one; it reads them every 200 ms while tasks wait. An entry that is restarted and finds its own lease knows that its predecessor made no commit after the start of the process. Starts, their acceptance and grants stay as they were.

The new tests fail without Scheduler::Resolve(), PriorStarts and the bound of the lease.

--- a/daemon/fleet_planner.cc
+++ b/daemon/fleet_planner.cc
@@ -28,15 +28,9 @@
 // made kLeasePeriod after the last commit.
 const absl::Duration kLongGrant = absl::Milliseconds(8500);
 
-// Factor for the drift between two clocks, and allowance for a message in
-// transit.
-constexpr double kClockDriftFactor = 1.04;
+// Allowance for a message in transit.
 const absl::Duration kGrantSlack = absl::Milliseconds(100);
 
-// The commits of a planner count as failing when the last successful one is
-// older than this.
-constexpr absl::Duration kCommitsFailingAfter = absl::Milliseconds(1300);
-
 // If an entry has not reported for this long that it does not reach the store,
 // no long grant can be in force.
 const absl::Duration kLongGrantsRuledOutAfter =
@@ -350,8 +344,9 @@
     this->OnPermitAnswer(*answer);
   } else if (const auto* accepted = std::get_if<AcceptedNotice>(&message)) {
     // An earlier planner may already have read it from the table and started
-    // it.
-    this->AddSubmission(accepted->submission, std::nullopt);
+    // it. While commits fail it is left to the feed.
+    if (!this->CommitsFailing(now))
+      this->AddSubmission(accepted->submission, std::nullopt);
   } else if (const auto* request = std::get_if<StoreRequest>(&message)) {
     this->OnStoreRequest(node, *request);
   } else if (const auto* cancelled = std::get_if<CancelledNotice>(&message)) {
--- a/daemon/fleet_planner.h
+++ b/daemon/fleet_planner.h
@@ -40,6 +40,7 @@
 #include "daemon/vacant_workers.h"
 #include "platform/store.h"
 #include "submission/policy.h"
+#include "submission/prior_starts.h"
 #include "submission/scheduler.h"
 
 namespace cuminjunction {
@@ -110,7 +111,7 @@
   void OnClaimed(uint64_t epoch);
   void StepDown();
   void LoadNext(const std::shared_ptr<LoadedRows>& rows);
-  void OnLoaded(const LoadedRows& rows);
+  void OnLoaded(const std::shared_ptr<LoadedRows>& loaded);
   // Reads all pages of a table. `done` is not called once the term has changed.
   void ReadTable(const std::string& table,
                  std::function<void(RowsReply&&)> done);
@@ -160,8 +161,13 @@
   // Returns the latest deadline of the grants that the previous planner made.
   absl::Time InheritedGrantDeadline(bool long_grants_made) const;
   void OnNoLongGrants();
-  // Returns true if the last successful commit was too long ago.
+  // Returns true if the last successful commit was too long ago. No submission
+  // is added then; see PriorStarts.
   bool CommitsFailing(absl::Time now) const;
+  // Resolves the submission of a row that no earlier planner can have started.
+  void ResolveIfNew(const StoreRow& row);
+  // Reads the newest submissions often while tasks wait for silent workers.
+  absl::Duration ReconcileInterval() const;
 
   boost::asio::io_context* context;
   Store* store;
@@ -195,6 +201,8 @@
   uint64_t term = 0;
   // Since when the current planner has had no connection to this entry.
   absl::Time disconnected_since = absl::InfinitePast();
+  // What the planners before the current term can have started.
+  PriorStarts prior_starts{absl::InfiniteFuture()};
   // Not null while this process plans.
   std::unique_ptr<Scheduler> scheduler;
   // Version up to which each table was read; 0 to read the whole table again.
--- a/daemon/fleet_planner_load.cc
+++ b/daemon/fleet_planner_load.cc
@@ -13,8 +13,11 @@
 
 namespace {
 
-// Interval of the reads for rows whose notice was lost with a connection.
+// Interval of the reads for rows whose notice was lost with a connection, and
+// the same while tasks wait for silent workers: the versions of the rows tell
+// which submissions need not wait.
 constexpr absl::Duration kReconcileInterval = absl::Milliseconds(1500);
+constexpr absl::Duration kUnresolvedReconcileInterval = absl::Milliseconds(200);
 
 // Number of submissions whose rows are removed at once: the three rows of each
 // fit into one transaction.
@@ -54,7 +57,7 @@
 
 void FleetPlanner::LoadNext(const std::shared_ptr<LoadedRows>& rows) {
   if (rows->remaining_tables.empty()) {
-    this->OnLoaded(*rows);
+    this->OnLoaded(rows);
     return;
   }
   const std::string table = rows->remaining_tables.back();
@@ -108,8 +111,17 @@
       });
 }
 
-void FleetPlanner::OnLoaded(const LoadedRows& rows) {
+void FleetPlanner::OnLoaded(const std::shared_ptr<LoadedRows>& loaded) {
   const absl::Time now = BootClock().Now();
+  if (this->CommitsFailing(now)) {
+    this->plan_timer.expires_after(kRetryDelay);
+    this->plan_timer.async_wait([this, loaded](std::error_code error) {
+      if (!error && loaded->term == this->term)
+        this->OnLoaded(loaded);
+    });
+    return;
+  }
+  const LoadedRows& rows = *loaded;
   const absl::Time wall = SystemClock().Now();
   this->scheduler = std::make_unique<Scheduler>();
   this->scheduler->SetPolicy(this->policy);
@@ -171,7 +183,8 @@
           .Add("damaged_rows", damaged)
           .Add("load_ms", absl::ToDoubleMilliseconds(now - rows.started)));
   this->load_seconds.Observe(now - rows.started);
-  this->next_reconcile = now + kReconcileInterval;
+  this->prior_starts = PriorStarts(this->lease.PredecessorLastCommit());
+  this->next_reconcile = now + this->ReconcileInterval();
   this->next_waiting_notice = absl::InfinitePast();
   this->next_removal = now + kRemovalInterval;
   this->FollowNodeFeed();
@@ -226,18 +239,32 @@
 void FleetPlanner::ReconcileFromFeeds(absl::Time now) {
   if (now < this->next_reconcile)
     return;
-  this->next_reconcile = now + kReconcileInterval;
+  this->next_reconcile = now + this->ReconcileInterval();
   this->ReconcileTable(kSubmissionTable);
   this->ReconcileTable(kCancellationTable);
 }
 
+absl::Duration FleetPlanner::ReconcileInterval() const {
+  return this->scheduler->UnresolvedCount() > 0 ? kUnresolvedReconcileInterval
+                                                : kReconcileInterval;
+}
+
+void FleetPlanner::ResolveIfNew(const StoreRow& row) {
+  if (this->prior_starts.RulesOut(row.version))
+    this->scheduler->Resolve(row.key);
+}
+
 void FleetPlanner::ReconcileTable(const std::string& table) {
   if (!this->feeds_in_progress.insert(table).second)
     return;
-  const auto on_reply = [this, table, term = this->term](RowsReply&& reply) {
+  const auto on_reply = [this, table, term = this->term,
+                         sent = BootClock().Now()](RowsReply&& reply) {
     if (term != this->term)
       return;
     this->feeds_in_progress.erase(table);
+    // The same rows are read again once commits succeed.
+    if (this->CommitsFailing(BootClock().Now()))
+      return;
     if (reply.error == PlatformError::kHistoryGone) {
       // With version 0 the next call of ReconcileTable() reads the whole table.
       this->feed_versions[table] = 0;
@@ -246,6 +273,7 @@
     if (reply.error)
       return;
     this->feed_versions[table] = reply.version;
+    this->prior_starts.OnStoreVersion(reply.version, sent);
     for (const StoreRow& row : reply.rows) {
       if (row.deleted)
         continue;
@@ -265,8 +293,12 @@
 }
 
 void FleetPlanner::AddSubmissionRow(const StoreRow& row) {
-  if (row.deleted || this->scheduler->HasSubmission(row.key))
+  if (row.deleted)
     return;
+  if (this->scheduler->HasSubmission(row.key)) {
+    this->ResolveIfNew(row);
+    return;
+  }
   const auto stored = Decode<SubmissionRow>(row.value);
   if (!stored) {
     this->log->Write(LogLine("submission_row_damaged", LogLevel::kError)
@@ -281,6 +313,7 @@
   // The entry may have announced the submission to an earlier planner, which
   // may still reach a worker that this one does not reach.
   this->AddSubmission(stored.value().submission, std::nullopt);
+  this->ResolveIfNew(row);
 }
 
 void FleetPlanner::AddSubmission(const Submission& submission,
@@ -332,9 +365,12 @@
     if (term != this->term)
       return;
     this->reading_submissions = false;
-    for (const StoreRow& row : reply.rows)
-      this->AddSubmissionRow(row);
-    if (!reply.error) {
+    const bool may_add = !this->CommitsFailing(BootClock().Now());
+    if (may_add) {
+      for (const StoreRow& row : reply.rows)
+        this->AddSubmissionRow(row);
+    }
+    if (!reply.error && may_add) {
       this->HandleDeferredMessages();
       return;
     }
--- a/daemon/planner_lease.cc
+++ b/daemon/planner_lease.cc
@@ -59,7 +59,8 @@
       claim_delay(claim_delay),
       log(log),
       handlers(std::move(handlers)),
-      timer(*context) {}
+      timer(*context),
+      process_started(BootClock().Now()) {}
 
 void PlannerLease::Claim(uint64_t failing_epoch) {
   if (this->held || this->claiming)
@@ -108,6 +109,10 @@
     // The holder is an earlier process of this VM, which has ended, or this
     // process itself by a claim whose reply was lost.
     const bool is_own_row = current.holder == this->holder;
+    // An earlier process of this VM has made no commit since this one started.
+    if (is_own_row && !this->claim_sent)
+      this->predecessor_last_commit =
+          std::min(this->predecessor_last_commit, this->process_started);
     // False if another entry has already replaced the failing planner.
     const bool holder_fails =
         failing_epoch != 0 && current.epoch == failing_epoch;
@@ -137,6 +142,7 @@
 }
 
 void PlannerLease::SendClaim() {
+  this->claim_sent = true;
   StoreCommit claim;
   claim.expects = {{kLeaseTable, kLeaseKey, this->version}};
   claim.puts = {{kLeaseTable, kLeaseKey, Encode(this->row)}};
--- a/daemon/planner_lease.h
+++ b/daemon/planner_lease.h
@@ -111,7 +111,7 @@
   uint64_t Epoch() const { return this->row.epoch; }
   // Expiry of the lease by the boot clock.
   absl::Time Expiry() const { return this->last_commit_time + kLeasePeriod; }
-  // Upper bound of the time of the last commit of the previous holder, by the
+  // Upper bound of the time of the last commit of all previous holders, by the
   // boot clock.
   absl::Time PredecessorLastCommit() const {
     return this->predecessor_last_commit;
@@ -147,6 +147,10 @@
   Log* log;
   PlannerLeaseHandlers handlers;
   boost::asio::steady_timer timer;
+  const absl::Time process_started;
+  // This process has tried to claim the lease, so that a row with its name may
+  // be its own.
+  bool claim_sent = false;
   std::optional<Observation> observed;
   // When this process first could have claimed the lease.
   std::optional<Observation> first_free;
--- a/daemon/planner_nodes.cc
+++ b/daemon/planner_nodes.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/time.h"
+#include "submission/prior_starts.h"
 
 namespace cuminjunction {
 
@@ -22,11 +23,6 @@
 // Delay before the next attempt to connect.
 constexpr absl::Duration kRetryDelay = absl::Milliseconds(250);
 
-// The planner assumes that a grant lasts longer by this factor than it tells
-// the agent, because of the drift between the two clocks. The platform states a
-// drift of 2% for a runner; this is twice that.
-constexpr double kClockDriftFactor = 1.04;
-
 }  // namespace
 
 PlannerNodes::PlannerNodes(boost::asio::io_context* context,
--- a/daemon/testing/planner_lease_test.cc
+++ b/daemon/testing/planner_lease_test.cc
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 
+#include "base/time.h"
 #include "daemon/node_row.h"
 #include "testing/support/store_standin.h"
 
@@ -111,5 +112,28 @@
   EXPECT_TRUE(restarted->IsHeld());
 }
 
+// Guards against trusting a row with this VM's name too much: the process of
+// before a restart has made no commit since, but a claim of this process may
+// itself have replaced a planner that still runs.
+TEST_F(PlannerLeaseTest, OnlyARestartedVmKnowsThatItsPredecessorHasEnded) {
+  const absl::Time begin = BootClock().Now();
+  const auto before = this->MakeLease("front-1");
+  this->ClaimOnce(before.get());
+  const auto restarted = this->MakeLease("front-1");
+  const absl::Time started = BootClock().Now();
+  while (BootClock().Now() < started + absl::Milliseconds(5)) {
+  }
+  this->ClaimOnce(restarted.get());
+  ASSERT_TRUE(restarted->IsHeld());
+  EXPECT_GE(restarted->PredecessorLastCommit(), begin);
+  EXPECT_LE(restarted->PredecessorLastCommit(), started);
+  // The same process claims once more, as after a claim without an answer.
+  restarted->Drop();
+  const absl::Time dropped = BootClock().Now();
+  this->ClaimOnce(restarted.get());
+  ASSERT_TRUE(restarted->IsHeld());
+  EXPECT_GE(restarted->PredecessorLastCommit(), dropped);
+}
+
 }  // namespace
 }  // namespace cuminjunction
--- a/submission/scheduler.cc
+++ b/submission/scheduler.cc
@@ -67,6 +67,18 @@
   return true;
 }
 
+void Scheduler::Resolve(const std::string& id) {
+  ActiveSubmission* active = this->FindActive(id);
+  if (active == nullptr)
+    return;
+  for (OccurrenceSlots& occurrence : active->occurrences) {
+    for (StepSlots& step : occurrence.steps) {
+      for (TaskSlot& slot : step.tasks)
+        slot.resolved = true;
+    }
+  }
+}
+
 void Scheduler::AddEnded(const std::string& id,
                          const std::string& queue,
                          SubmissionState state,
--- a/submission/scheduler.h
+++ b/submission/scheduler.h
@@ -120,6 +120,10 @@
            absl::Time now,
            absl::Time wall);
 
+  // Records that no earlier planner can have started the submission: its tasks
+  // do not wait for silent workers.
+  void Resolve(const std::string& id);
+
   // Adds a submission that ended under an earlier planner, at this time.
   void AddEnded(const std::string& id,
                 const std::string& queue,
--- a/submission/testing/scheduler_test.cc
+++ b/submission/testing/scheduler_test.cc
@@ -636,5 +636,20 @@
   EXPECT_TRUE(added(MakeSubmission(kId, {MakeStep(8, 500), MakeStep(8, 500)})));
 }
 
+// Guards against new work that waits for silent VMs after a takeover: what no
+// earlier planner can have started runs nowhere.
+TEST_F(SchedulerTest, ResolvedSubmissionsDoNotWaitForSilentWorkers) {
+  const std::string newer = "00000000000000a2";
+  this->scheduler.ExpectWorker("vm-1", this->now + absl::Seconds(7));
+  this->scheduler.MergeReport(MakeReport("vm-2"), this->now);
+  this->Add(MakeSubmission(kId, {MakeStep(1, 500)}), UnresolvedRunsBefore(2));
+  this->Add(MakeSubmission(newer, {MakeStep(1, 500)}), UnresolvedRunsBefore(2));
+  EXPECT_TRUE(this->Plan().starts.empty());
+  this->scheduler.Resolve(newer);
+  const Orders orders = this->Plan();
+  ASSERT_EQ(orders.starts.size(), 1u);
+  EXPECT_EQ(orders.starts[0].task.submission, newer);
+}
+
 }  // namespace
 }  // namespace cuminjunction
