Watch the lease from the first late ping

Change: the row is read every 300 ms once a ping is 600 ms late or the connection is gone, and the ping timeout is 1.3 s. A claim still needs both a missing ping and a row that has not changed for 1.1 s.

The new lease test fails without Observe().

--- a/daemon/fleet_planner.cc
+++ b/daemon/fleet_planner.cc
@@ -12,7 +12,11 @@
 
 // A planner without a ping for this long is assumed to have failed if its lease
 // row does not change either. It pings every 400 ms.
-constexpr absl::Duration kPlannerPingTimeout = absl::Milliseconds(1500);
+constexpr absl::Duration kPlannerPingTimeout = absl::Milliseconds(1300);
+
+// From this long after a ping on the lease row is watched, so that a frozen
+// planner is replaced soon after the timeout.
+constexpr absl::Duration kPlannerPingLate = absl::Milliseconds(600);
 
 // Time that an entry waits after the planner's connection was closed before it
 // tries to claim the lease: a running planner reconnects within 250 ms.
@@ -144,6 +148,8 @@
   *failing_epoch = 0;
   if (this->policy.version == 0 || this->stopping)
     return false;
+  if (!view.connected || now - view.last_ping > kPlannerPingLate)
+    this->lease.Observe();
   if (view.connected) {
     this->disconnected_since = absl::InfinitePast();
     if (view.commits_failing) {
--- a/daemon/planner_lease.cc
+++ b/daemon/planner_lease.cc
@@ -19,6 +19,7 @@
 // holder renews it every kRenewInterval.
 constexpr absl::Duration kStaleAfter = absl::Milliseconds(1100);
 constexpr absl::Duration kRenewInterval = absl::Milliseconds(500);
+constexpr absl::Duration kObservationInterval = absl::Milliseconds(300);
 
 // Minimum time between two commits, so that runs that end at nearly the same
 // time share a commit: a call costs as much as 25 KB of rows.
@@ -77,6 +78,23 @@
       });
 }
 
+void PlannerLease::Observe() {
+  const absl::Time now = BootClock().Now();
+  if (this->held || this->claiming || now < this->next_observation)
+    return;
+  this->next_observation = now + kObservationInterval;
+  this->store->ReadOne(
+      kLeaseTable, kLeaseKey, kCallTimeout, [this](RowsReply&& reply) {
+        if (!reply.error && !reply.rows.empty())
+          this->NoteVersion(reply.rows.front().version, BootClock().Now());
+      });
+}
+
+void PlannerLease::NoteVersion(int64_t read_version, absl::Time now) {
+  if (!this->observed || this->observed->version != read_version)
+    this->observed = Observation{read_version, now};
+}
+
 void PlannerLease::OnRead(RowsReply&& reply, uint64_t failing_epoch) {
   if (reply.error) {
     this->claiming = false;
@@ -117,8 +135,7 @@
     const bool holder_fails =
         failing_epoch != 0 && current.epoch == failing_epoch;
     if (!holder_fails && !stale && !is_own_row && !current.released) {
-      if (!this->observed || this->observed->version != found.version)
-        this->observed = Observation{found.version, now};
+      this->NoteVersion(found.version, now);
       this->claiming = false;
       return;
     }
--- a/daemon/planner_lease.h
+++ b/daemon/planner_lease.h
@@ -83,6 +83,11 @@
   // under way.
   void Claim(uint64_t failing_epoch);
 
+  // Reads the lease row, at most every 300 ms, so that a claim that follows
+  // knows for how long it has not changed. Does nothing while a claim is under
+  // way.
+  void Observe();
+
   // Queues rows to store and rows to remove, and calls `done` once these and
   // all rows queued before are committed. `done` is not called if the lease is
   // lost first.
@@ -128,6 +133,8 @@
   };
 
   void OnRead(RowsReply&& reply, uint64_t failing_epoch);
+  // Notes when this process first read this version of another holder's row.
+  void NoteVersion(int64_t read_version, absl::Time now);
   // Returns true once the lease with this row version, 0 for none, has been
   // free for the claim delay.
   bool HasWaited(int64_t free_version, absl::Time now);
@@ -151,6 +158,7 @@
   // This process has tried to claim the lease, so that a row with its name may
   // be its own.
   bool claim_sent = false;
+  absl::Time next_observation = absl::InfinitePast();
   std::optional<Observation> observed;
   // When this process first could have claimed the lease.
   std::optional<Observation> first_free;
--- a/daemon/testing/planner_lease_test.cc
+++ b/daemon/testing/planner_lease_test.cc
@@ -135,5 +135,25 @@
   EXPECT_GE(restarted->PredecessorLastCommit(), dropped);
 }
 
+// Guards against a second lost after a planner that was frozen or killed: the
+// time for which its lease row did not change counts from the first doubt, not
+// from the first claim.
+TEST_F(PlannerLeaseTest, AnObservedLeaseIsClaimedAtOnceWhenItIsStale) {
+  const auto holder = this->MakeLease("front-1");
+  this->ClaimOnce(holder.get());
+  ASSERT_TRUE(holder->IsHeld());
+  const auto other = this->MakeLease("front-2");
+  other->Observe();
+  const absl::Time observed = BootClock().Now();
+  this->context.restart();
+  // Longer than a lease row of a running holder stays unchanged.
+  while (BootClock().Now() < observed + absl::Milliseconds(1500))
+    this->context.run_one_for(std::chrono::milliseconds(50));
+  this->ClaimOnce(other.get());
+  EXPECT_TRUE(other->IsHeld());
+  EXPECT_LE(other->PredecessorLastCommit(),
+            observed + absl::Milliseconds(1500));
+}
+
 }  // namespace
 }  // namespace cuminjunction
