Do not let two planners start one occurrence

Cause: an occurrence of a schedule that became due after a takeover was added as if no earlier planner could have started it. A report of such a run was also stopped as unknown if the occurrence was not due yet by the new planner's clock.

Change: a submission keeps what earlier planners may have started of it, and each later occurrence waits for silent workers like the others and uses run numbers of this epoch. A reported run or end of an occurrence that is not due yet adds it.

--- a/submission/active.cc
+++ b/submission/active.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <utility>
 
 namespace cuminjunction {
 
@@ -35,11 +36,12 @@
   return bits;
 }
 
-OccurrenceSlots MakeOccurrence(const ActiveSubmission& active,
-                               uint32_t occurrence_index,
-                               PriorRuns prior_runs) {
+// Adds the next occurrence.
+void AddOccurrence(ActiveSubmission* added_to) {
+  const ActiveSubmission& active = *added_to;
+  const PriorRuns& prior_runs = active.prior_runs;
   OccurrenceSlots slots;
-  slots.due = DueTime(active, occurrence_index);
+  slots.due = DueTime(active, static_cast<uint32_t>(active.occurrences.size()));
   for (const Step& step : active.submission.steps) {
     StepSlots& tasks = slots.steps.emplace_back();
     tasks.tasks.resize(step.count);
@@ -48,7 +50,7 @@
       task.highest_run = prior_runs.max_run;
     }
   }
-  return slots;
+  added_to->occurrences.push_back(std::move(slots));
 }
 
 void ApplyDone(ActiveSubmission* active, const std::vector<std::string>& done) {
@@ -127,6 +129,7 @@
   active.submission = submission;
   active.queue = queue;
   active.clock_offset = now - wall;
+  active.prior_runs = prior_runs;
   active.long_running =
       std::any_of(submission.steps.begin(), submission.steps.end(),
                   [](const Step& step) { return step.long_running; });
@@ -142,9 +145,8 @@
                              submission.occurrences)
           : 0;
   while (active.occurrences.size() < stored)
-    active.occurrences.push_back(MakeOccurrence(
-        active, static_cast<uint32_t>(active.occurrences.size()), prior_runs));
-  AddDueOccurrences(&active, prior_runs, now);
+    AddOccurrence(&active);
+  AddDueOccurrences(&active, now);
   if (progress) {
     active.started = true;
     ApplyDone(&active, progress->done);
@@ -153,17 +155,22 @@
   return active;
 }
 
-void AddDueOccurrences(ActiveSubmission* active,
-                       PriorRuns prior_runs,
-                       absl::Time now) {
+void AddDueOccurrences(ActiveSubmission* active, absl::Time now) {
   while (active->occurrences.size() < active->submission.occurrences) {
     const auto next = static_cast<uint32_t>(active->occurrences.size());
     if (active->submission.scheduled && DueTime(*active, next) > now)
       return;
-    active->occurrences.push_back(MakeOccurrence(*active, next, prior_runs));
+    AddOccurrence(active);
   }
 }
 
+void AddStartedOccurrences(ActiveSubmission* active, uint32_t occurrence) {
+  if (IsFinal(active->state) || occurrence >= active->submission.occurrences)
+    return;
+  while (active->occurrences.size() <= occurrence)
+    AddOccurrence(active);
+}
+
 bool IsReady(const ActiveSubmission& active,
              const OccurrenceSlots& slots,
              uint32_t step) {
--- a/submission/active.h
+++ b/submission/active.h
@@ -68,6 +68,17 @@
   uint32_t steps_done = 0;
 };
 
+// Runs of a submission's tasks that other planners may have started before it
+// was added.
+struct PriorRuns {
+  // True if no run can exist that this planner has no report of.
+  bool resolved = true;
+  // The highest run number that earlier planners can have used. The number
+  // ranges of two planners never overlap, since the failures of a task are
+  // identified by run number.
+  uint32_t max_run = 0;
+};
+
 struct ActiveSubmission {
   Submission submission;
   Queue queue;
@@ -79,6 +90,9 @@
   // Boot clock minus system clock at the time of Activate(); converts times
   // that callers state.
   absl::Duration clock_offset;
+  // What earlier planners may have started of it, also of occurrences that
+  // become due later: they may still be planning then.
+  PriorRuns prior_runs;
   // Occurrences that are due, by number.
   std::vector<OccurrenceSlots> occurrences;
   // The final state is in the store, so that callers may see it.
@@ -89,17 +103,6 @@
 // submission without a schedule.
 absl::Time DueTime(const ActiveSubmission& active, uint32_t occurrence);
 
-// Runs of a submission's tasks that other planners may have started before it
-// was added.
-struct PriorRuns {
-  // True if no run can exist that this planner has no report of.
-  bool resolved = true;
-  // The highest run number that earlier planners can have used. The number
-  // ranges of two planners never overlap, since the failures of a task are
-  // identified by run number.
-  uint32_t max_run = 0;
-};
-
 // Prior runs of a task of which nothing is stored, when planners of lower
 // epochs may have started it.
 PriorRuns UnresolvedRunsBefore(uint64_t epoch);
@@ -114,9 +117,11 @@
                           absl::Time wall);
 
 // Adds the occurrences that have become due.
-void AddDueOccurrences(ActiveSubmission* active,
-                       PriorRuns prior_runs,
-                       absl::Time now);
+void AddDueOccurrences(ActiveSubmission* active, absl::Time now);
+
+// Adds the occurrences up to this one, if there are so many: another planner,
+// by whose clock it was due, has started it.
+void AddStartedOccurrences(ActiveSubmission* active, uint32_t occurrence);
 
 // True if all steps that the step depends on are done.
 bool IsReady(const ActiveSubmission& active,
--- a/submission/scheduler.cc
+++ b/submission/scheduler.cc
@@ -71,6 +71,7 @@
   ActiveSubmission* active = this->FindActive(id);
   if (active == nullptr)
     return;
+  active->prior_runs.resolved = true;
   for (OccurrenceSlots& occurrence : active->occurrences) {
     for (StepSlots& step : occurrence.steps) {
       for (TaskSlot& slot : step.tasks)
@@ -191,6 +192,8 @@
     const TaskRef& task = running.task;
     reported.insert(task);
     ActiveSubmission* active = this->FindActive(task.submission);
+    if (active != nullptr)
+      AddStartedOccurrences(active, task.occurrence);
     TaskSlot* slot = active == nullptr ? nullptr : FindSlot(active, task);
     if (active != nullptr && !running.starting)
       active->started = true;
@@ -364,6 +367,8 @@
     Vacate(&worker, ended_run.task);
   this->OnStarted(ended_run.task.submission);
   ActiveSubmission* active = this->FindActive(ended_run.task.submission);
+  if (active != nullptr)
+    AddStartedOccurrences(active, ended_run.task.occurrence);
   TaskSlot* slot =
       active == nullptr ? nullptr : FindSlot(active, ended_run.task);
   if (slot == nullptr || slot->phase == TaskPhase::kDone)
--- a/submission/scheduler_plan.cc
+++ b/submission/scheduler_plan.cc
@@ -159,7 +159,7 @@
 void Scheduler::AddOccurrences(absl::Time now) {
   for (const auto& [id, active] : this->live) {
     if (active->submission.scheduled)
-      AddDueOccurrences(active, {}, now);
+      AddDueOccurrences(active, now);
   }
 }
 
--- a/submission/testing/scheduler_test.cc
+++ b/submission/testing/scheduler_test.cc
@@ -651,5 +651,51 @@
   EXPECT_EQ(orders.starts[0].task.submission, newer);
 }
 
+Submission MakeSchedule(absl::Time first_due) {
+  Submission submission = MakeSubmission(kId, {MakeStep(1, 100)});
+  submission.scheduled = true;
+  submission.occurrences = 3;
+  submission.first_due_ms = absl::ToUnixMillis(first_due);
+  submission.interval_ms = 5000;
+  return submission;
+}
+
+// Guards against two planners that start an occurrence at its due time: the
+// earlier one may still reach a VM that is silent for this one. Found by an
+// altered copy of lakeshore-pack with timed submissions (trouble-1, seed 77).
+TEST_F(SchedulerTest, ADueOccurrenceWaitsForSilentWorkersOfAnEarlierPlanner) {
+  this->scheduler.ExpectWorker("vm-1", this->now + absl::Seconds(7));
+  this->scheduler.MergeReport(MakeReport("vm-2"), this->now);
+  this->Add(MakeSchedule(this->now + absl::Seconds(1)),
+            UnresolvedRunsBefore(2));
+  this->now += absl::Seconds(2);
+  EXPECT_TRUE(this->Plan().starts.empty());
+  this->now += absl::Seconds(6);
+  this->scheduler.ExpireGrants(this->now);
+  const Orders orders = this->Plan();
+  ASSERT_EQ(orders.starts.size(), 2u);
+  for (const StartOrder& start : orders.starts)
+    EXPECT_GT(start.run, UnresolvedRunsBefore(2).max_run);
+}
+
+// Guards against stopping a run, and starting it again, because its occurrence
+// is due by the clock of the earlier planner and not yet by this one's.
+TEST_F(SchedulerTest, AReportedRunOfALaterOccurrenceIsAdopted) {
+  this->scheduler.ExpectWorker("vm-1", this->now + absl::Seconds(7));
+  this->Add(MakeSchedule(this->now + absl::Seconds(1)),
+            UnresolvedRunsBefore(2));
+  WorkerReport report = MakeReport("vm-1");
+  report.running.push_back({{kId, 0, 0, 0}, 1, "", 0, false});
+  this->scheduler.MergeReport(report, this->now);
+  EXPECT_TRUE(this->Plan().stops.empty());
+  this->now += absl::Seconds(2);
+  EXPECT_TRUE(this->Plan().starts.empty());
+  // An end is counted in the same way.
+  this->scheduler.OnEnded("vm-1", {1, {kId, 1, 0, 0}, 1, RunOutcome::kDone, ""},
+                          this->now);
+  this->now += absl::Seconds(5);
+  EXPECT_TRUE(this->Plan().starts.empty());
+}
+
 }  // namespace
 }  // namespace cuminjunction
