Count inherited grants exactly after a restart

Cause, found by reading the diff: a planner that finds the lease of an earlier process of its own VM counted all grants from its own start.

Change: the shorter wait applies only if the row's sequence number shows that the earlier process held the lease for kLeasePeriod.

--- a/daemon/fleet_planner.cc
+++ b/daemon/fleet_planner.cc
@@ -206,8 +206,7 @@
 absl::Time FleetPlanner::InheritedGrantDeadline(bool long_grants_made) const {
   const absl::Duration grant =
       (long_grants_made ? kLongGrant : kGrant) * kClockDriftFactor;
-  // A process of this VM that has ended made no grant after that.
-  if (this->lease.PredecessorHasEnded())
+  if (this->lease.NoGrantAfterLastCommit())
     return this->lease.PredecessorLastCommit() + grant + kGrantSlack;
   const absl::Duration commit_to_grant =
       long_grants_made ? kLeasePeriod : kCommitsFailingAfter;
--- a/daemon/planner_lease.cc
+++ b/daemon/planner_lease.cc
@@ -128,10 +128,14 @@
     // process itself by a claim whose reply was lost.
     const bool is_own_row = current.holder == this->holder;
     // An earlier process of this VM has made no commit since this one started.
-    this->predecessor_has_ended = is_own_row && !this->claim_sent;
-    if (this->predecessor_has_ended)
+    const bool predecessor_has_ended = is_own_row && !this->claim_sent;
+    if (predecessor_has_ended)
       this->predecessor_last_commit =
           std::min(this->predecessor_last_commit, this->process_started);
+    // Two commits are at least kCommitInterval apart.
+    this->no_grant_after_last_commit =
+        predecessor_has_ended &&
+        kCommitInterval * static_cast<double>(current.sequence) >= kLeasePeriod;
     // False if another entry has already replaced the failing planner.
     const bool holder_fails =
         failing_epoch != 0 && current.epoch == failing_epoch;
--- a/daemon/planner_lease.h
+++ b/daemon/planner_lease.h
@@ -121,9 +121,12 @@
   absl::Time PredecessorLastCommit() const {
     return this->predecessor_last_commit;
   }
-  // True if the previous holder was an earlier process of this VM, which ended
-  // before PredecessorLastCommit().
-  bool PredecessorHasEnded() const { return this->predecessor_has_ended; }
+  // True if no earlier planner made a grant after PredecessorLastCommit(). The
+  // previous holder was then an earlier process of this VM, which had ended,
+  // and had held the lease for longer than those before it could grant.
+  bool NoGrantAfterLastCommit() const {
+    return this->no_grant_after_last_commit;
+  }
   // Time at which the last successful commit was sent, by the boot clock.
   absl::Time LastCommitTime() const { return this->last_commit_time; }
 
@@ -161,7 +164,7 @@
   // This process has tried to claim the lease, so that a row with its name may
   // be its own.
   bool claim_sent = false;
-  bool predecessor_has_ended = false;
+  bool no_grant_after_last_commit = false;
   absl::Time next_observation = absl::InfinitePast();
   std::optional<Observation> observed;
   // When this process first could have claimed the lease.
--- a/daemon/testing/planner_lease_test.cc
+++ b/daemon/testing/planner_lease_test.cc
@@ -155,5 +155,22 @@
             observed + absl::Milliseconds(1500));
 }
 
+// Guards against waiting too briefly for silent workers: the planner before the
+// last one may have granted for kLeasePeriod after the last one's claim, so a
+// restarted process must not count grants from its own start if its predecessor
+// on this VM held the lease for a moment only.
+TEST_F(PlannerLeaseTest, GrantsEndWithThePredecessorOnlyIfItHeldTheLeaseLong) {
+  const auto restarted_after = [&](uint64_t sequence) {
+    this->standin->Put("lease", kFleetPart, "planner",
+                       Encode(LeaseRow{7, "front-1", sequence, false}));
+    const auto lease = this->MakeLease("front-1");
+    this->ClaimOnce(lease.get());
+    EXPECT_TRUE(lease->IsHeld());
+    return lease->NoGrantAfterLastCommit();
+  };
+  EXPECT_FALSE(restarted_after(3));
+  EXPECT_TRUE(restarted_after(1000));
+}
+
 }  // namespace
 }  // namespace cuminjunction
