Complete two comments

Cause: the read-through. Change: comments of VacantWorkers name all causes and states; a figure that no run shows is gone from kMaxStartsInPlan. Measured: no code changes.

--- a/daemon/vacant_workers.h
+++ b/daemon/vacant_workers.h
@@ -12,9 +12,9 @@
 //
 // A planner that takes over waits for silent workers, since an earlier planner
 // may have started tasks there. It need not wait for a worker with a row in
-// kVacantTable: its runner has ended, or its grants have expired. The planner
-// makes no grant to such a worker until the removal of the row is stored, so
-// the row is never out of date.
+// kVacantTable: its runner has ended, its grants have expired, or it runs
+// nothing and gets no tasks. The planner makes no grant to such a worker until
+// the removal of the row is stored, so the row is never out of date.
 
 #include <map>
 #include <string>
@@ -62,6 +62,8 @@
   void Clear() { this->workers.clear(); }
 
  private:
+  // kRemoving: the removal of the row is under way. kUnknown is the state of a
+  // worker before Add() has set another one.
   enum class State { kUnknown, kVacant, kRemoving };
 
   std::map<std::string, State> workers;
--- a/submission/scheduler.h
+++ b/submission/scheduler.h
@@ -101,9 +101,9 @@
   SubmissionState state = SubmissionState::kQueued;
 };
 
-// Limit of the starts in one plan. An entry with an eighth of a processor
-// orders them in some 20 ms, so that it answers callers and renews its lease
-// between two plans also while it starts the backlog of a takeover.
+// Limit of the starts in one plan, so that a planner with an eighth of a
+// processor answers callers and renews its lease between two plans also while
+// it starts the backlog of a takeover.
 inline constexpr size_t kMaxStartsInPlan = 120;
 
 class Scheduler {
