Tell why and after how many bytes a read of the configuration failed

Reads of the store now fail with kTimedOut, kConnectionLost or kTooLarge; configuration_read_incomplete says the bytes that had arrived and the time, store_regained how many reads had failed, and two metrics count the failures and give the version in force. No logic is changed.

--- a/daemon/fleet_entry.cc
+++ b/daemon/fleet_entry.cc
@@ -132,7 +132,7 @@
       this->log);
   this->registration->Start();
   this->follower = std::make_unique<PolicyFollower>(
-      context, this->store.get(), this->log,
+      context, this->store.get(), this->log, &this->metrics,
       [this](const FleetPolicy& policy) { this->planner->SetPolicy(policy); });
   this->follower->Start();
   // An earlier process on this VM may just have reported the store as lost.
--- a/daemon/policy_follower.h
+++ b/daemon/policy_follower.h
@@ -3,7 +3,7 @@
 
 // Follows the operator's configuration in the platform's store.
 //
-//   PolicyFollower follower(&context, &store, &log, handler);
+//   PolicyFollower follower(&context, &store, &log, &metrics, handler);
 //   follower.Start();   // calls `handler` with each higher version
 
 #include <boost/asio/io_context.hpp>
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "base/log.h"
+#include "base/metrics.h"
 #include "platform/store.h"
 #include "submission/policy.h"
 
@@ -26,6 +27,7 @@
   PolicyFollower(boost::asio::io_context* context,
                  Store* store,
                  Log* log,
+                 Metrics* metrics,
                  Handler handler);
 
   void Start();
@@ -38,18 +40,22 @@
   // Reads the whole configuration, then its feed of changes.
   void Read();
   void ReadFeed();
+  void OnReply(RowsReply&& reply, absl::Time sent);
   void ApplyRows(const std::vector<StoreRow>& rows);
-  void OnReadFailed(std::error_code error);
+  void OnReadFailed(const RowsReply& reply, absl::Time sent);
   void OnReadSucceeded();
 
   Store* store;
   Log* log;
+  Metrics* metrics;
   Handler handler;
   boost::asio::steady_timer timer;
   FleetPolicy policy;
   // Version of the store up to which the feed was read.
   int64_t version = 0;
   bool store_unreachable = false;
+  // Reads that have failed since the last one that succeeded.
+  int64_t failures = 0;
 };
 
 }  // namespace cuminjunction
