--- a/testing/support/fault_proxy.cc
+++ b/testing/support/fault_proxy.cc
@@ -15,7 +15,7 @@
 
 // How late bytes arrive: more than the daemon's limit for a call to the store
 // (500 ms) takes for two of them.
-constexpr std::chrono::milliseconds kDelay(300);
+constexpr absl::Duration kDelay = absl::Milliseconds(300);
 
 constexpr size_t kBufferBytes = 16384;
 
@@ -121,12 +121,13 @@
           this->Read(link, pipe);
           return;
         }
-        if (this->fault != LinkFault::kDelayed) {
+        const absl::Duration delay = this->Delay(size);
+        if (delay == absl::ZeroDuration()) {
           this->Forward(link, pipe, size);
           return;
         }
         auto timer = std::make_shared<boost::asio::steady_timer>(
-            link->client.get_executor(), kDelay);
+            link->client.get_executor(), absl::ToChronoMicroseconds(delay));
         timer->async_wait(
             [this, link, pipe, size, timer](boost::system::error_code failed) {
               if (!failed)
@@ -135,6 +136,15 @@
       });
 }
 
+absl::Duration FaultProxy::Delay(size_t size) const {
+  if (this->fault == LinkFault::kDelayed)
+    return kDelay;
+  if (this->bytes_per_second == 0)
+    return absl::ZeroDuration();
+  return absl::Seconds(static_cast<double>(size) /
+                       static_cast<double>(this->bytes_per_second));
+}
+
 void FaultProxy::Forward(const std::shared_ptr<Link>& link,
                          Pipe* pipe,
                          size_t size) {
@@ -169,4 +179,8 @@
   });
 }
 
+void FaultProxy::SetRate(int64_t new_rate) {
+  this->thread->Post([this, new_rate] { this->bytes_per_second = new_rate; });
+}
+
 }  // namespace cuminjunction
--- a/testing/support/fault_proxy.h
+++ b/testing/support/fault_proxy.h
@@ -7,12 +7,14 @@
 //   ... clients use proxy->Address() ...
 //   proxy->SetFault(LinkFault::kCutToServer);
 //   proxy->SetFault(LinkFault::kNone);
+//   proxy->SetRate(250000);
 
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <memory>
 #include <set>
 
+#include "absl/time/time.h"
 #include "base/endpoint.h"
 #include "base/error.h"
 #include "base/event_thread.h"
@@ -47,6 +49,10 @@
   // fault ends, since the bytes would be missing in the middle.
   void SetFault(LinkFault fault);
 
+  // Limits each direction of each connection to this many bytes a second; 0
+  // means no limit. Callable from any thread.
+  void SetRate(int64_t bytes_per_second);
+
  private:
   struct Link;
   // One direction of a link.
@@ -56,6 +62,8 @@
   void Accept();
   void Open(boost::asio::ip::tcp::socket client);
   void Read(const std::shared_ptr<Link>& link, Pipe* pipe);
+  // How long `size` bytes are held back.
+  absl::Duration Delay(size_t size) const;
   void Forward(const std::shared_ptr<Link>& link, Pipe* pipe, size_t size);
   void Reset(const std::shared_ptr<Link>& link);
 
@@ -64,6 +72,7 @@
   Endpoint address;
   boost::asio::ip::tcp::acceptor acceptor;
   LinkFault fault = LinkFault::kNone;
+  int64_t bytes_per_second = 0;
   std::set<std::shared_ptr<Link>> links;
 };
 
