Limit the pauses in an answer of the store, not its total time

Callers got 200 for a queue that the operator had removed 20 s before, and 404 for one that was there: on four entries with links of 10 Mbit/s no version came into force after the configuration had grown to 4,445 queues.

Cause: a read of the store had 0.8 s and a feed 1.6 s for its whole answer, however much of it had arrived, and the next try began at the first byte. An answer of 1.1 MB takes 0.9 s and more on that link, so no try could succeed, each one filled the link, and the entry took the store for lost and had the planner store its submissions. The class of fault: a fixed limit on the whole of a transfer whose size has no limit, with retries that start from the beginning.

Ruled out: silent connections (bytes arrive), oversized or unreadable answers (other entries take the same bytes).

--- a/base/http_caller.cc
+++ b/base/http_caller.cc
@@ -6,9 +6,12 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <chrono>
+#include <optional>
 #include <utility>
 
 #include "base/strings.h"
+#include "base/time.h"
 
 namespace cuminjunction {
 
@@ -81,6 +84,14 @@
   // connection.
   bool has_length = false;
   bool too_large = false;
+  // With HttpCall::max_pause, when the next part of the answer must be here.
+  absl::Time deadline;
+  std::optional<boost::asio::steady_timer> deadline_timer;
+
+  void OnPart() {
+    if (this->request.max_pause > absl::ZeroDuration())
+      this->deadline = SteadyClock().Now() + this->request.max_pause;
+  }
 };
 
 // A socket of libcurl. It stays registered with the event loop for as long as
@@ -131,8 +142,37 @@
   transfer->request = std::move(request);
   this->Prepare(transfer.get());
   CURL* easy = transfer->easy;
+  const bool limits_pauses = transfer->request.max_pause > absl::ZeroDuration();
+  if (limits_pauses) {
+    transfer->deadline = SteadyClock().Now() + transfer->request.timeout;
+    transfer->deadline_timer.emplace(*this->context);
+  }
   this->transfers[call] = std::move(transfer);
   curl_multi_add_handle(this->multi, easy);
+  if (limits_pauses)
+    this->WatchProgress(call);
+}
+
+void HttpCaller::WatchProgress(uint64_t call) {
+  Transfer* transfer = this->transfers.at(call).get();
+  const absl::Duration left = transfer->deadline - SteadyClock().Now();
+  transfer->deadline_timer->expires_after(
+      absl::ToChronoMicroseconds(std::max(left, absl::Microseconds(1))));
+  transfer->deadline_timer->async_wait(
+      [this, call, alive = std::weak_ptr(this->alive)](std::error_code error) {
+        if (!error && !alive.expired())
+          this->CheckProgress(call);
+      });
+}
+
+void HttpCaller::CheckProgress(uint64_t call) {
+  const auto found = this->transfers.find(call);
+  if (found == this->transfers.end())
+    return;
+  if (found->second->deadline > SteadyClock().Now())
+    this->WatchProgress(call);
+  else
+    this->Finish(found->second->easy, CURLE_OPERATION_TIMEDOUT);
 }
 
 void HttpCaller::Abort(uint64_t call) {
@@ -165,6 +205,7 @@
   transfer->header_bytes = 0;
   transfer->has_length = false;
   transfer->too_large = false;
+  transfer->deadline_timer.reset();
   curl_easy_reset(transfer->easy);
   this->idle.push_back(std::move(transfer));
 }
@@ -185,9 +226,10 @@
   curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                    static_cast<long>(this->options.connect_timeout_ms));
-  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
-                   static_cast<long>(std::max<int64_t>(
-                       1, absl::ToInt64Milliseconds(request.timeout))));
+  if (request.max_pause == absl::ZeroDuration())
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+                     static_cast<long>(std::max<int64_t>(
+                         1, absl::ToInt64Milliseconds(request.timeout))));
   curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &OnOpen);
   curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
   curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &OnClose);
@@ -386,6 +428,7 @@
                             void* transfer) {
   auto* self = static_cast<Transfer*>(transfer);
   const std::string_view line(data, size * count);
+  self->OnPart();
   self->header_bytes += line.size();
   if (self->header_bytes > kMaxAnswerHeaderBytes) {
     self->too_large = true;
@@ -418,6 +461,7 @@
     self->too_large = true;
     return 0;
   }
+  self->OnPart();
   self->answer.body.append(data, size * count);
   return size * count;
 }
--- a/base/http_caller.h
+++ b/base/http_caller.h
@@ -47,6 +47,10 @@
   bool idempotent = false;
   // How long the answer may take.
   absl::Duration timeout;
+  // If not zero, `timeout` only limits the time until the answer begins, and
+  // this limits each pause in it. An answer of any size is then received over a
+  // slow link, while a connection that falls silent is still noticed.
+  absl::Duration max_pause;
 };
 
 enum class CallResult : uint8_t {
@@ -98,6 +102,9 @@
   void Act(curl_socket_t socket, int events);
   void ReportFinished();
   void Finish(CURL* easy, CURLcode code);
+  // Ends the call at its deadline, which moves with each part of the answer.
+  void WatchProgress(uint64_t call);
+  void CheckProgress(uint64_t call);
   void ArmTimer(int64_t timeout_ms);
   void Wait(const std::shared_ptr<Socket>& socket);
   void WaitFor(const std::shared_ptr<Socket>& socket, int event);
