Tell which runs end with a runner

The agent now writes run_lost for each run that ended with its runner: run number, whether the start was confirmed, and its age at the first call that failed. runner_restarted adds the pending starts, the time away and whether the runner was shutting down. No logic is changed.

Nothing remembers a crash; counts lost at takeovers and repeated orders are ruled out.

--- a/daemon/runner_guard.cc
+++ b/daemon/runner_guard.cc
@@ -177,12 +177,15 @@
     return;
   }
   if (report.order.result != OrderResult::kDone) {
+    if (!this->silent_since)
+      this->silent_since = now;
     this->CheckLeaseExpiry(now);
     this->RenewLeaseAfter(kRenewalRetryDelay);
     return;
   }
   if (report.order.born_ms != this->born_ms)
-    this->OnNewIncarnation(report.order.born_ms);
+    this->OnNewIncarnation(report.order.born_ms, now);
+  this->silent_since.reset();
   const bool first_report = !this->runs_known || !this->alive;
   this->runs_known = true;
   this->alive = true;
@@ -220,12 +223,18 @@
   this->ResolveStarts();
 }
 
-void RunnerGuard::OnNewIncarnation(int64_t new_born_ms) {
+void RunnerGuard::OnNewIncarnation(int64_t new_born_ms, absl::Time now) {
   if (this->born_ms != 0) {
-    this->log->Write(LogLine("runner_restarted", LogLevel::kWarning)
-                         .Add("born_ms", new_born_ms)
-                         .Add("previous_born_ms", this->born_ms)
-                         .Add("lost_runs", this->running.size()));
+    const absl::Time lost_at = this->silent_since.value_or(now);
+    this->log->Write(
+        LogLine("runner_restarted", LogLevel::kWarning)
+            .Add("born_ms", new_born_ms)
+            .Add("previous_born_ms", this->born_ms)
+            .Add("shutting_down", this->shutting_down)
+            .Add("away_ms", absl::ToInt64Milliseconds(now - lost_at))
+            .Add("lost_runs", this->running.size())
+            .Add("pending_starts", this->starting.size()));
+    this->LogLostRuns(lost_at);
   }
   this->born_ms = new_born_ms;
   this->shutting_down = false;
@@ -241,6 +250,32 @@
     this->SendStop(task, start.order.run, false);
 }
 
+void RunnerGuard::LogLostRuns(absl::Time lost_at) {
+  const auto write = [&](const TaskRef& task, uint32_t run, bool confirmed,
+                         std::optional<absl::Time> started_at) {
+    LogLine line("run_lost", LogLevel::kWarning);
+    line.Add("submission", task.submission)
+        .Add("step", static_cast<uint64_t>(task.step))
+        .Add("index", static_cast<uint64_t>(task.index))
+        .Add("run", static_cast<uint64_t>(run))
+        .Add("confirmed", confirmed);
+    if (started_at)
+      line.Add("age_ms", absl::ToInt64Milliseconds(lost_at - *started_at));
+    this->log->Write(line);
+  };
+  for (const auto& [task, figure] : this->running) {
+    const auto found = this->descriptions.find(task);
+    write(task, figure.running.run, true,
+          found == this->descriptions.end() ? std::nullopt
+                                            : found->second.started_at);
+  }
+  for (const auto& [task, start] : this->starting) {
+    const bool confirmed = start.accepted_at != absl::InfiniteFuture();
+    write(task, start.order.run, confirmed,
+          confirmed ? start.accepted_at : start.ordered_at);
+  }
+}
+
 void RunnerGuard::ClearRuns() {
   this->running.clear();
   this->ended.clear();
@@ -256,6 +291,7 @@
                        .Add("born_ms", this->born_ms)
                        .Add("lost_runs", this->running.size())
                        .Add("pending_starts", this->starting.size()));
+  this->LogLostRuns(this->silent_since.value_or(now));
   this->lost_total.Add();
   this->runs_known = true;
   this->alive = false;
--- a/daemon/runner_guard.h
+++ b/daemon/runner_guard.h
@@ -147,6 +147,9 @@
     absl::Time accepted_at = absl::InfiniteFuture();
   };
   struct RunDescription {
+    // When the runner confirmed the start; unknown for a run that an earlier
+    // process of the agent has started.
+    std::optional<absl::Time> started_at;
     bool fills = false;
     int64_t latency_objective_ms = 0;
     std::string image;
@@ -166,7 +169,9 @@
   // Called when a call had no answer: declares the runner lost once every lease
   // has expired.
   void CheckLeaseExpiry(absl::Time now);
-  void OnNewIncarnation(int64_t new_born_ms);
+  void OnNewIncarnation(int64_t new_born_ms, absl::Time now);
+  // Writes a line for each run that ended with the runner at this time.
+  void LogLostRuns(absl::Time lost_at);
   void ClearRuns();
   void RecordClock(const OrderReply& reply, absl::Time now);
   // Returns the expiry, on the runner's clock, of the longest lease that the
@@ -207,6 +212,9 @@
   bool runs_known = false;
   bool alive = false;
   bool renewing = false;
+  // When the first of the renewals failed that have failed since the runner's
+  // last answer. A renewal is always in flight and breaks with the runner.
+  std::optional<absl::Time> silent_since;
   // The runner has announced its shutdown.
   bool shutting_down = false;
   absl::Time renewal_sent_at;
