--- a/testing/support/runner_standin.cc
+++ b/testing/support/runner_standin.cc
@@ -14,6 +14,11 @@
 // How often a waiting hold looks for ends that have come due.
 constexpr absl::Duration kLook = absl::Milliseconds(5);
 
+// From the start of a task that crashes the runner to the crash, and from there
+// to the runner's next incarnation.
+constexpr absl::Duration kTimeToCrash = absl::Milliseconds(10);
+constexpr absl::Duration kTimeDown = absl::Milliseconds(400);
+
 HttpResponse Answer(int status, const json& body) {
   HttpResponse response;
   response.status = status;
@@ -109,6 +114,8 @@
   {
     absl::MutexLock lock(&this->mutex);
     this->SettleLocked();
+    if (this->IsDown())
+      return Answer(0, json::object());
     if (body.value("fence", int64_t{0}) < this->fence)
       return this->Refuse("fence");
     this->fence = body.value("fence", int64_t{0});
@@ -138,6 +145,8 @@
       return this->Refuse("late");
     this->running[task] = {run, SteadyClock().Now() + this->run_time};
     this->ledger->Begin(task);
+    if (task == this->crash_task)
+      this->crash_at = SteadyClock().Now() + kTimeToCrash;
   }
   HttpResponse response =
       Answer(200, {{"clockMs", this->ClockMs()}, {"born", this->born_ms}});
@@ -176,9 +185,45 @@
   this->SettleLocked();
 }
 
+void RunnerStandin::CrashOnStartOf(const std::string& task) {
+  absl::MutexLock lock(&this->mutex);
+  this->crash_task = task;
+}
+
+int RunnerStandin::Crashes() const {
+  absl::MutexLock lock(&this->mutex);
+  return this->crashes;
+}
+
+int64_t RunnerStandin::BornMs() const {
+  absl::MutexLock lock(&this->mutex);
+  return this->born_ms;
+}
+
+void RunnerStandin::CrashIfDue(absl::Time now) {
+  if (now >= this->crash_at) {
+    this->crash_at = absl::InfiniteFuture();
+    this->back_at = now + kTimeDown;
+    ++this->crashes;
+    for (const auto& [task, run] : this->running)
+      this->ledger->End(task);
+    this->running.clear();
+    this->highest.clear();
+    this->ended.clear();
+    this->next_end = 1;
+    this->fence = 0;
+    this->lease_until_ms = 0;
+  }
+  if (now >= this->back_at) {
+    this->back_at = absl::InfiniteFuture();
+    this->born_ms = absl::ToUnixMillis(absl::Now());
+  }
+}
+
 void RunnerStandin::SettleLocked() {
-  const bool lapsed = this->lease_until_ms <= this->ClockMs();
   const absl::Time now = SteadyClock().Now();
+  this->CrashIfDue(now);
+  const bool lapsed = this->lease_until_ms <= this->ClockMs();
   std::vector<std::pair<std::string, std::string>> due;
   for (const auto& [task, run] : this->running) {
     if (run.end <= now && this->fail > 0) {
@@ -199,7 +244,10 @@
   for (;;) {
     {
       absl::MutexLock lock(&this->mutex);
+      const int64_t asked_born_ms = this->born_ms;
       this->SettleLocked();
+      if (this->IsDown() || this->born_ms != asked_born_ms)
+        return Answer(0, json::object());
       for (const End& end : this->ended) {
         if (end.number <= last_seen && end.how == "done")
           this->ledger->ConfirmDone(end.task);
--- a/testing/support/runner_standin.h
+++ b/testing/support/runner_standin.h
@@ -57,7 +57,7 @@
                                                       absl::Duration run_time);
 
   Endpoint Address() const { return {"127.0.0.1", this->server->Port()}; }
-  int64_t BornMs() const { return this->born_ms; }
+  int64_t BornMs() const;
 
   // Ends what has come due or lapsed. Without it that is done at the next call.
   void Settle();
@@ -68,6 +68,14 @@
   // Ends the next runs as failed.
   void FailNext(int count);
 
+  // Crashes shortly after each start of this task, named as in the protocol.
+  // It answers nothing for some time, and then runs nothing and has seen
+  // nothing, under a new BornMs().
+  void CrashOnStartOf(const std::string& task);
+
+  // Number of crashes so far.
+  int Crashes() const;
+
   // Loses the answers of the next starts, which are carried out.
   void LoseStartReplies(int count);
 
@@ -93,6 +101,9 @@
   // Ends what is due, and everything once the lease has passed.
   void SettleLocked();
   void Finish(const std::string& task, const std::string& how);
+  // Crashes, and comes back, when that is due.
+  void CrashIfDue(absl::Time now);
+  bool IsDown() const { return this->back_at != absl::InfiniteFuture(); }
   int64_t ClockMs() const;
   HttpResponse Refuse(const std::string& reason) const;
 
@@ -106,6 +117,10 @@
   int lose = 0;
   int fail = 0;
   int lose_holds = 0;
+  std::string crash_task;
+  absl::Time crash_at = absl::InfiniteFuture();
+  absl::Time back_at = absl::InfiniteFuture();
+  int crashes = 0;
   int64_t next_end = 1;
   std::map<std::string, Run> running;
   std::map<std::string, int64_t> highest;
