Give up tasks that crash their runners, and find out which do

Cause: nothing remembered a crash. Runs that end with their runner were dropped from the planner's tables like runs that had never been there. The class of fault: a retry without a budget, since only one of the ways in which an attempt can end counted as one. Second, a runner that returns is empty and so the cheapest, so that all runs that were lost together started together again, and the next crash told as little as the first.

Evidence: run_lost shows the same task lost under ever new numbers, with confirmed starts, before and after the takeover; CrashTest fails without this change. Ruled out: counts lost at takeovers, repeated orders.

Change: agents report the crashes of their runner with the runs on it, their ages, and whether their starts were confirmed; an announced end, or a runner that was only cut off, is no crash. submission/crash.h weighs the evidence: runs that had just started are suspects, others bystanders. Suspects start again one at a time, on the VM with the least work to lose, 400 ms apart from other starts, so that the next crash has one suspect. Two crashes with a confirmed start and one of them as the only suspect, three as a suspect or four as a bystander end the submission as failed; the crashes that this explains no longer count against others. The records are stored with the progress of the submission, whose row gets a field, and agents repeat the crashes of the last minute to each new planner.

--- a/daemon/fleet_agent.cc
+++ b/daemon/fleet_agent.cc
@@ -209,6 +209,8 @@
                        .Add("millicores", received.capacity.millicores));
   this->runner_info = received;
   this->guard->SetProcessors(received.capacity.millicores);
+  if (received.draining)
+    this->guard->OnRunnerDraining(received.born_ms);
   this->SendRunnerInfo();
   return 200;
 }
@@ -280,6 +282,7 @@
   notice.info.born_ms = this->guard->BornMs();
   notice.running = this->guard->Running();
   notice.ended = this->guard->Ended();
+  notice.crashes = this->guard->Crashes();
   this->port->Send(notice);
 }
 
--- a/daemon/fleet_message.h
+++ b/daemon/fleet_message.h
@@ -26,6 +26,7 @@
 
 #include "base/codec.h"
 #include "base/error.h"
+#include "submission/crash.h"
 #include "submission/interference_model.h"
 #include "submission/permits.h"
 #include "submission/types.h"
@@ -215,11 +216,14 @@
   bool alive = false;
   std::vector<ActiveRun> running;
   std::vector<EndedRun> ended;
+  // The latest crashes of the runner, also those that were sent before: an
+  // earlier planner may not have stored them.
+  std::vector<RunnerCrash> crashes;
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->last_received_number, this->info, this->alive, this->running,
-            this->ended);
+            this->ended, this->crashes);
   }
 };
 
--- a/daemon/fleet_planner.h
+++ b/daemon/fleet_planner.h
@@ -141,6 +141,8 @@
   void OnStoreRequest(const std::string& vm, const StoreRequest& request);
   void OnWorkerNotice(const std::string& vm, WorkerNotice&& notice);
   void DescribeTo(const std::string& vm);
+  // Writes a line for each crash that counted against the task.
+  void LogGivenUp(const GivenUpTask& given_up);
   // Stores that nothing can run on the worker.
   void MarkVacant(const std::string& vm);
   // Removes that mark, after which grants can be made to the worker.
--- a/daemon/fleet_planner_messages.cc
+++ b/daemon/fleet_planner_messages.cc
@@ -140,8 +140,8 @@
                                   WorkerNotice&& notice) {
   for (const EndedRun& end : notice.ended)
     this->ends_to_confirm[node] = {notice.info.born_ms, end.number};
-  WorkerReport report{node, notice.info, notice.alive, notice.running,
-                      notice.ended};
+  WorkerReport report{node,           notice.info,  notice.alive,
+                      notice.running, notice.ended, notice.crashes};
   for (const SentStart& run : this->sent_starts[node].runs) {
     if (run.number > notice.last_received_number)
       report.running.push_back({run.task, run.run, "", 0, true});
@@ -153,15 +153,33 @@
                        .Add("alive", notice.alive)
                        .Add("draining", notice.info.draining)
                        .Add("running", notice.running.size())
-                       .Add("ended", notice.ended.size()));
+                       .Add("ended", notice.ended.size())
+                       .Add("crashes", notice.crashes.size()));
   const bool first_report = !this->scheduler->MayGrant(node);
   this->scheduler->MergeReport(report, BootClock().Now());
+  for (const GivenUpTask& task : this->scheduler->TakeGivenUp())
+    this->LogGivenUp(task);
   // The agent can start tasks only with a grant.
   if (first_report)
     this->nodes.PingNow(node);
   this->DescribeTo(node);
 }
 
+void FleetPlanner::LogGivenUp(const GivenUpTask& given_up) {
+  const TaskRef& task = given_up.task;
+  for (const CrashRecord& record : given_up.crashes)
+    this->log->Write(LogLine("task_given_up", LogLevel::kWarning)
+                         .Add("submission", task.submission)
+                         .Add("step", static_cast<uint64_t>(task.step))
+                         .Add("index", static_cast<uint64_t>(task.index))
+                         .Add("run", static_cast<uint64_t>(record.run))
+                         .Add("vm", record.vm)
+                         .Add("born_ms", record.born_ms)
+                         .Add("confirmed", record.confirmed)
+                         .Add("only_suspect",
+                              record.evidence == CrashEvidence::kOnlySuspect));
+}
+
 void FleetPlanner::DescribeTo(const std::string& node) {
   const Worker* worker = this->scheduler->FindWorker(node);
   DescribeRuns describe;
--- a/daemon/runner_guard.cc
+++ b/daemon/runner_guard.cc
@@ -1,6 +1,7 @@
 #include "daemon/runner_guard.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "base/time.h"
@@ -49,6 +50,11 @@
 // when the clock is set back.
 constexpr int64_t kFenceStepMs = 60000;
 
+// Crashes of the runner that are reported to each new planner: one that takes
+// over may not find them in the store.
+constexpr absl::Duration kCrashRetention = absl::Minutes(1);
+constexpr size_t kMaxCrashes = 16;
+
 }  // namespace
 
 RunnerGuard::RunnerGuard(boost::asio::io_context* context,
@@ -186,6 +192,7 @@
   if (report.order.born_ms != this->born_ms)
     this->OnNewIncarnation(report.order.born_ms, now);
   this->silent_since.reset();
+  this->expired_runs.clear();
   const bool first_report = !this->runs_known || !this->alive;
   this->runs_known = true;
   this->alive = true;
@@ -234,7 +241,16 @@
             .Add("away_ms", absl::ToInt64Milliseconds(now - lost_at))
             .Add("lost_runs", this->running.size())
             .Add("pending_starts", this->starting.size()));
-    this->LogLostRuns(lost_at);
+    std::vector<LostRun> lost = this->CollectLostRuns(lost_at);
+    std::move(this->expired_runs.begin(), this->expired_runs.end(),
+              std::back_inserter(lost));
+    const bool announced =
+        this->shutting_down || this->draining_born_ms == this->born_ms;
+    if (!announced && !lost.empty())
+      this->crashes.emplace_back(now,
+                                 RunnerCrash{this->born_ms, std::move(lost)});
+    while (this->crashes.size() > kMaxCrashes)
+      this->crashes.pop_front();
   }
   this->born_ms = new_born_ms;
   this->shutting_down = false;
@@ -250,30 +266,44 @@
     this->SendStop(task, start.order.run, false);
 }
 
-void RunnerGuard::LogLostRuns(absl::Time lost_at) {
-  const auto write = [&](const TaskRef& task, uint32_t run, bool confirmed,
-                         std::optional<absl::Time> started_at) {
-    LogLine line("run_lost", LogLevel::kWarning);
-    line.Add("submission", task.submission)
-        .Add("step", static_cast<uint64_t>(task.step))
-        .Add("index", static_cast<uint64_t>(task.index))
-        .Add("run", static_cast<uint64_t>(run))
-        .Add("confirmed", confirmed);
-    if (started_at)
-      line.Add("age_ms", absl::ToInt64Milliseconds(lost_at - *started_at));
-    this->log->Write(line);
+std::vector<LostRun> RunnerGuard::CollectLostRuns(absl::Time lost_at) {
+  std::vector<LostRun> lost;
+  const auto age_ms = [&](absl::Time started_at) {
+    return std::max<int64_t>(0,
+                             absl::ToInt64Milliseconds(lost_at - started_at));
   };
   for (const auto& [task, figure] : this->running) {
+    LostRun& run = lost.emplace_back(LostRun{task, figure.running.run, true});
     const auto found = this->descriptions.find(task);
-    write(task, figure.running.run, true,
-          found == this->descriptions.end() ? std::nullopt
-                                            : found->second.started_at);
+    if (found != this->descriptions.end() && found->second.started_at)
+      run.age_ms = age_ms(*found->second.started_at);
   }
   for (const auto& [task, start] : this->starting) {
+    if (this->running.contains(task))
+      continue;
     const bool confirmed = start.accepted_at != absl::InfiniteFuture();
-    write(task, start.order.run, confirmed,
-          confirmed ? start.accepted_at : start.ordered_at);
+    lost.push_back({task, start.order.run, confirmed,
+                    age_ms(confirmed ? start.accepted_at : start.ordered_at)});
+  }
+  for (const LostRun& run : lost)
+    this->log->Write(LogLine("run_lost", LogLevel::kWarning)
+                         .Add("submission", run.task.submission)
+                         .Add("step", static_cast<uint64_t>(run.task.step))
+                         .Add("index", static_cast<uint64_t>(run.task.index))
+                         .Add("run", static_cast<uint64_t>(run.run))
+                         .Add("confirmed", run.confirmed)
+                         .Add("age_ms", run.age_ms));
+  return lost;
+}
+
+std::vector<RunnerCrash> RunnerGuard::Crashes() const {
+  const absl::Time now = BootClock().Now();
+  std::vector<RunnerCrash> recent;
+  for (const auto& [noticed_at, crash] : this->crashes) {
+    if (now - noticed_at < kCrashRetention)
+      recent.push_back(crash);
   }
+  return recent;
 }
 
 void RunnerGuard::ClearRuns() {
@@ -291,7 +321,7 @@
                        .Add("born_ms", this->born_ms)
                        .Add("lost_runs", this->running.size())
                        .Add("pending_starts", this->starting.size()));
-  this->LogLostRuns(this->silent_since.value_or(now));
+  this->expired_runs = this->CollectLostRuns(this->silent_since.value_or(now));
   this->lost_total.Add();
   this->runs_known = true;
   this->alive = false;
--- a/daemon/runner_guard.h
+++ b/daemon/runner_guard.h
@@ -19,11 +19,13 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/time/time.h"
@@ -31,6 +33,7 @@
 #include "base/metrics.h"
 #include "daemon/fleet_message.h"
 #include "platform/runner.h"
+#include "submission/crash.h"
 #include "submission/pace.h"
 #include "submission/scheduler.h"
 #include "submission/types.h"
@@ -115,6 +118,15 @@
   // incarnation, until the next full report of the runner.
   bool IsRunnerAlive() const { return this->alive; }
 
+  // Handles the word of an incarnation of the runner that it drains: its end is
+  // no crash.
+  void OnRunnerDraining(int64_t born_ms_of_draining) {
+    this->draining_born_ms = born_ms_of_draining;
+  }
+
+  // The crashes of the runner in the last minute.
+  std::vector<RunnerCrash> Crashes() const;
+
   // The runner's present incarnation has announced its shutdown.
   bool IsShuttingDown() const { return this->shutting_down; }
 
@@ -170,8 +182,9 @@
   // has expired.
   void CheckLeaseExpiry(absl::Time now);
   void OnNewIncarnation(int64_t new_born_ms, absl::Time now);
-  // Writes a line for each run that ended with the runner at this time.
-  void LogLostRuns(absl::Time lost_at);
+  // Returns the runs and pending starts on the runner, which was lost at this
+  // time, and writes a line for each.
+  std::vector<LostRun> CollectLostRuns(absl::Time lost_at);
   void ClearRuns();
   void RecordClock(const OrderReply& reply, absl::Time now);
   // Returns the expiry, on the runner's clock, of the longest lease that the
@@ -215,6 +228,12 @@
   // When the first of the renewals failed that have failed since the runner's
   // last answer. A renewal is always in flight and breaks with the runner.
   std::optional<absl::Time> silent_since;
+  int64_t draining_born_ms = 0;
+  // Runs of an incarnation whose lease has expired. If the runner returns as
+  // another incarnation, it has crashed; otherwise it was only cut off.
+  std::vector<LostRun> expired_runs;
+  // Crashes and when they were noticed, the oldest first.
+  std::deque<std::pair<absl::Time, RunnerCrash>> crashes;
   // The runner has announced its shutdown.
   bool shutting_down = false;
   absl::Time renewal_sent_at;
--- a/fuzz/planner_input_fuzz.cc
+++ b/fuzz/planner_input_fuzz.cc
@@ -96,7 +96,8 @@
     EncodeFleetMessage(message.value());
     if (const auto* notice = std::get_if<WorkerNotice>(&message.value())) {
       this->scheduler.MergeReport(
-          {"vm-1", notice->info, notice->alive, notice->running, notice->ended},
+          {"vm-1", notice->info, notice->alive, notice->running, notice->ended,
+           notice->crashes},
           this->now);
     } else if (const auto* info =
                    std::get_if<RunnerInfoNotice>(&message.value())) {
--- a/submission/active.cc
+++ b/submission/active.cc
@@ -72,7 +72,9 @@
   }
 }
 
-void ApplyTasks(ActiveSubmission* active, const Progress& progress) {
+void ApplyTasks(ActiveSubmission* active,
+                const Progress& progress,
+                absl::Time now) {
   for (const TaskProgress& task : progress.tasks) {
     TaskSlot* slot = FindSlot(active, {active->submission.id, task.occurrence,
                                        task.step, task.index});
@@ -80,6 +82,11 @@
       continue;
     slot->highest_run = std::max(slot->highest_run, task.last_run);
     slot->failed_runs = task.failed_runs;
+    slot->crashes = task.crashes;
+    if (!task.crashes.empty()) {
+      slot->crashed_at = now;
+      slot->failed_vm = task.crashes.back().vm;
+    }
     slot->checkpoint = task.checkpoint;
   }
 }
@@ -150,7 +157,7 @@
   if (progress) {
     active.started = true;
     ApplyDone(&active, progress->done);
-    ApplyTasks(&active, *progress);
+    ApplyTasks(&active, *progress, now);
   }
   return active;
 }
@@ -212,10 +219,12 @@
       for (uint32_t index = 0; index < slots.tasks.size(); ++index) {
         const TaskSlot& task = slots.tasks[index];
         if (task.phase == TaskPhase::kDone ||
-            (task.failed_runs.empty() && task.checkpoint.empty()))
+            (task.failed_runs.empty() && task.crashes.empty() &&
+             task.checkpoint.empty()))
           continue;
         progress.tasks.push_back({occurrence_index, step, index, task.run,
-                                  task.failed_runs, task.checkpoint});
+                                  task.failed_runs, task.crashes,
+                                  task.checkpoint});
       }
     }
   }
--- a/submission/active.h
+++ b/submission/active.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "absl/time/time.h"
+#include "submission/crash.h"
 #include "submission/policy.h"
 #include "submission/progress.h"
 #include "submission/rank.h"
@@ -46,6 +47,10 @@
   std::vector<uint32_t> failed_runs;
   // VM where the last run failed.
   std::string failed_vm;
+  // Crashes of runners that the task may have caused, and when the last one was
+  // counted.
+  std::vector<CrashRecord> crashes;
+  absl::Time crashed_at = absl::InfinitePast();
   std::string checkpoint;
 };
 
--- a/submission/progress.h
+++ b/submission/progress.h
@@ -12,12 +12,13 @@
 #include <vector>
 
 #include "base/codec.h"
+#include "submission/crash.h"
 #include "submission/types.h"
 
 namespace cuminjunction {
 
-// A task that is not done and has a checkpoint or failed runs. For other tasks,
-// Progress::done is enough.
+// A task that is not done and has a checkpoint, failed runs or crashes. For
+// other tasks, Progress::done is enough.
 struct TaskProgress {
   uint32_t occurrence = 0;
   uint32_t step = 0;
@@ -26,6 +27,7 @@
   // Numbers of the runs that failed. A set instead of a count, since the same
   // end may be reported to two planners.
   std::vector<uint32_t> failed_runs;
+  std::vector<CrashRecord> crashes;
   std::string checkpoint;
 
   bool operator==(const TaskProgress&) const = default;
@@ -33,7 +35,7 @@
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->occurrence, this->step, this->index, this->last_run,
-            this->failed_runs, this->checkpoint);
+            this->failed_runs, this->crashes, this->checkpoint);
   }
 };
 
--- a/submission/scheduler.cc
+++ b/submission/scheduler.cc
@@ -266,6 +266,7 @@
   TaskSlot& slot = step.tasks[task.index];
   slot.phase = TaskPhase::kDone;
   slot.checkpoint.clear();
+  slot.crashes.clear();
   slot.failed_runs.clear();
   ++step.done;
   this->dirty.insert(active->submission.id);
--- a/submission/scheduler.h
+++ b/submission/scheduler.h
@@ -16,6 +16,7 @@
 // grant has expired. See docs/deployment.md.
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -27,6 +28,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 #include "submission/active.h"
+#include "submission/crash.h"
 #include "submission/interference_model.h"
 #include "submission/permits.h"
 #include "submission/place.h"
@@ -84,6 +86,14 @@
   // completed.
   std::vector<ActiveRun> running;
   std::vector<EndedRun> ended;
+  // The latest crashes of the runner, also those reported before.
+  std::vector<RunnerCrash> crashes = {};
+};
+
+// A task that was given up because runners crashed under it.
+struct GivenUpTask {
+  TaskRef task;
+  std::vector<CrashRecord> crashes;
 };
 
 enum class StartOutcome : uint8_t {
@@ -242,6 +252,10 @@
   // Removes a submission that TakeEndedBefore() returned.
   void Forget(const std::string& id);
 
+  // Returns the tasks given up since the last call. Their submissions have
+  // failed.
+  std::vector<GivenUpTask> TakeGivenUp();
+
   // Returns the state changes since the last call that need not be stored.
   std::vector<StateChange> TakeChanges();
 
@@ -282,6 +296,22 @@
              absl::Time now);
   void Release(ActiveSubmission* active, const TaskRef& task, TaskSlot* slot);
   void DropRunsExcept(Worker* worker, const std::set<TaskRef>& reported);
+  // Counts a crash of the VM's runner against the tasks that it was running,
+  // once, and gives up those that crash each runner.
+  void RecordCrash(const std::string& vm,
+                   const RunnerCrash& crash,
+                   absl::Time now);
+  void GiveUpGuilty(const std::vector<TaskRef>& accused);
+  // Removes these crashes from the records of all tasks.
+  void ExplainCrashes(const std::vector<CrashRecord>& crashes);
+  using WorkerCost = std::function<std::optional<double>(Worker* worker)>;
+  // Returns a VM for a task that may crash its runner: without recent starts,
+  // not the one of the last crash if there is another, and with the least work
+  // to lose. Returns null if there is none yet.
+  Worker* ChooseWorkerForSuspect(const TaskSlot& slot,
+                                 const WorkerCost& cost_on,
+                                 absl::Time now,
+                                 double* cost);
   void EndSubmission(ActiveSubmission* active, SubmissionState state);
   void CompleteTask(ActiveSubmission* active, const TaskRef& task);
   void CompleteGang(ActiveSubmission* active, const TaskRef& task);
@@ -355,6 +385,7 @@
   std::set<std::string> unresolved;
   std::set<std::string> dirty;
   std::vector<StateChange> changes;
+  std::vector<GivenUpTask> given_up;
   absl::Time next_move = absl::InfinitePast();
   uint64_t plan_number = 0;
   // Runs that must be stopped: those of unknown or final submissions, stale
--- a/submission/scheduler_plan.cc
+++ b/submission/scheduler_plan.cc
@@ -263,6 +263,22 @@
     }
     const bool can_wait =
         slots.placed > 0 || now - slots.ready_since < kMaxPlacementWait;
+    if (IsSuspect(slot.crashes)) {
+      this->CountPlaced(candidate);
+      context.can_wait = can_wait;
+      context.rack = candidate->rack;
+      double cost = 0;
+      Worker* worker = this->ChooseWorkerForSuspect(slot, evaluate, now, &cost);
+      if (worker == nullptr)
+        continue;
+      this->OrderStart(candidate, index, worker, slot.highest_run + 1, cost,
+                       orders, now);
+      worker->avoid_until =
+          std::max(worker->avoid_until, now + kSuspectIsolation);
+      changed.push_back(worker);
+      search.reset();
+      continue;
+    }
     UnplaceableShapes::Shape shape{
         context.service, step.size, step.fills,
         step.fills && can_wait ? step.image : std::string()};
--- a/submission/scheduler_workers.cc
+++ b/submission/scheduler_workers.cc
@@ -91,6 +91,8 @@
   }
   this->DropRunsExcept(&worker, reported);
   this->unresolved.erase(report.vm);
+  for (const RunnerCrash& crash : report.crashes)
+    this->RecordCrash(report.vm, crash, now);
 }
 
 void Scheduler::UpdateInfo(const std::string& vm,
--- a/submission/worker.h
+++ b/submission/worker.h
@@ -63,6 +63,8 @@
   absl::Time inherited_grant_deadline = absl::InfinitePast();
   // Gets no new tasks before this time.
   absl::Time avoid_until = absl::InfinitePast();
+  // Incarnations of the runner whose crash was counted, by their birth.
+  std::set<int64_t> known_crashes;
   // Failed runs since the last successful one.
   int consecutive_failures = 0;
   // Sums over `placed`. The processors of filling tasks are summed separately,
