Do not confirm ends of a runner's next incarnation unseen

A caller's work runs twice.

Cause: after a crash the agent's first call to the next incarnation still confirmed ends up to the last number of the earlier one, and waited up to 0.9 s for an end. The numbers begin at 1 again, so the runner forgot the ends of tasks that were started there meanwhile; the agent never saw them, and the planner started the tasks again. Such starts also counted as lost in the crash although they ran on the next incarnation.

Evidence: in the soak's logs the start is ordered 66 ms after the birth of the incarnation that the agent notices 0.9 s later, and run_lost follows with age 0.

Change: after a failed call, calls to the runner confirm nothing and do not wait until one is answered. A start that the next incarnation has confirmed goes on there and is no part of the crash.

--- a/daemon/runner_guard.cc
+++ b/daemon/runner_guard.cc
@@ -152,12 +152,15 @@
   this->renewal_sent_at = now;
   RunnerHold renewal;
   renewal.fence = this->fence;
-  renewal.last_confirmed = this->last_confirmed_end;
+  // After a failed call the runner may be another incarnation, whose ends have
+  // the same numbers: confirming them unseen would lose them.
+  if (!this->silent_since)
+    renewal.last_confirmed = this->last_confirmed_end;
   const absl::Time previous_expiry = this->lease_expiry;
   renewal.lease_until_ms = this->NextLeaseExpiryMs(now);
   // The runner need not delay its answer while unconfirmed ends are listed, and
-  // must not while it is lost, so that its first answer comes at once.
-  if (this->ended.empty() && this->alive)
+  // must not after a failed call, so that its first answer comes at once.
+  if (this->ended.empty() && this->alive && !this->silent_since)
     renewal.wait_ms = absl::ToInt64Milliseconds(this->LongPollTimeout());
   this->runner->Hold(
       renewal, [this, active = this->active, previous_expiry,
@@ -231,41 +234,56 @@
 }
 
 void RunnerGuard::OnNewIncarnation(int64_t new_born_ms, absl::Time now) {
-  if (this->born_ms != 0) {
-    const absl::Time lost_at = this->silent_since.value_or(now);
-    this->log->Write(
-        LogLine("runner_restarted", LogLevel::kWarning)
-            .Add("born_ms", new_born_ms)
-            .Add("previous_born_ms", this->born_ms)
-            .Add("shutting_down", this->shutting_down)
-            .Add("away_ms", absl::ToInt64Milliseconds(now - lost_at))
-            .Add("lost_runs", this->running.size())
-            .Add("pending_starts", this->starting.size()));
-    std::vector<LostRun> lost = this->CollectLostRuns(lost_at);
-    std::move(this->expired_runs.begin(), this->expired_runs.end(),
-              std::back_inserter(lost));
-    const bool announced =
-        this->shutting_down || this->draining_born_ms == this->born_ms;
-    if (!announced && !lost.empty())
-      this->crashes.emplace_back(now,
-                                 RunnerCrash{this->born_ms, std::move(lost)});
-    while (this->crashes.size() > kMaxCrashes)
-      this->crashes.pop_front();
+  // What the new incarnation has confirmed already goes on there.
+  std::map<TaskRef, PendingStart> continuing;
+  std::map<TaskRef, RunDescription> continuing_descriptions;
+  for (const auto& [task, start] : this->starting) {
+    if (start.accepted_by != new_born_ms)
+      continue;
+    continuing[task] = start;
+    continuing_descriptions[task] = this->descriptions[task];
   }
+  for (const auto& [task, start] : continuing)
+    this->starting.erase(task);
+  if (this->born_ms != 0)
+    this->RecordEndOfIncarnation(new_born_ms, now);
   this->born_ms = new_born_ms;
   this->shutting_down = false;
   this->last_reported_end = 0;
   this->last_confirmed_end = 0;
   // The runner counts as lost until the full report that follows.
   this->alive = false;
-  const auto pending = std::exchange(this->starting, {});
+  const auto abandoned = std::exchange(this->starting, {});
   this->ClearRuns();
+  this->starting = std::move(continuing);
+  this->descriptions = std::move(continuing_descriptions);
   // Copies of the pending orders may reach the new incarnation, which refuses
   // runs that were stopped.
-  for (const auto& [task, start] : pending)
+  for (const auto& [task, start] : abandoned)
     this->SendStop(task, start.order.run, false);
 }
 
+void RunnerGuard::RecordEndOfIncarnation(int64_t new_born_ms, absl::Time now) {
+  const absl::Time lost_at = this->silent_since.value_or(now);
+  this->log->Write(LogLine("runner_restarted", LogLevel::kWarning)
+                       .Add("born_ms", new_born_ms)
+                       .Add("previous_born_ms", this->born_ms)
+                       .Add("shutting_down", this->shutting_down)
+                       .Add("away_ms", absl::ToInt64Milliseconds(now - lost_at))
+                       .Add("lost_runs", this->running.size())
+                       .Add("pending_starts", this->starting.size()));
+  std::vector<LostRun> lost = this->CollectLostRuns(lost_at);
+  std::move(this->expired_runs.begin(), this->expired_runs.end(),
+            std::back_inserter(lost));
+  const bool announced =
+      this->shutting_down || this->draining_born_ms == this->born_ms;
+  if (!announced && !lost.empty())
+    this->crashes.emplace_back(now,
+                               RunnerCrash{this->born_ms, std::move(lost)});
+  while (this->crashes.size() > kMaxCrashes)
+    this->crashes.pop_front();
+}
+
 std::vector<LostRun> RunnerGuard::CollectLostRuns(absl::Time lost_at) {
   std::vector<LostRun> lost;
   const auto age_ms = [&](absl::Time started_at) {
--- a/daemon/runner_guard.h
+++ b/daemon/runner_guard.h
@@ -157,6 +157,8 @@
     // When the runner confirmed the start. The start stays pending until a
     // report that was requested later lists the run.
     absl::Time accepted_at = absl::InfiniteFuture();
+    // The incarnation that confirmed it.
+    int64_t accepted_by = 0;
   };
   struct RunDescription {
     // When the runner confirmed the start; unknown for a run that an earlier
@@ -182,6 +184,9 @@
   // has expired.
   void CheckLeaseExpiry(absl::Time now);
   void OnNewIncarnation(int64_t new_born_ms, absl::Time now);
+  // Keeps the runs that ended with the present incarnation as a crash, unless
+  // it had announced its end.
+  void RecordEndOfIncarnation(int64_t new_born_ms, absl::Time now);
   // Returns the runs and pending starts on the runner, which was lost at this
   // time, and writes a line for each.
   std::vector<LostRun> CollectLostRuns(absl::Time lost_at);
--- a/daemon/testing/runner_guard_test.cc
+++ b/daemon/testing/runner_guard_test.cc
@@ -155,5 +155,36 @@
   });
 }
 
+// Guards against ends that are lost: a call that confirms ends of a runner's
+// earlier incarnation makes the next one forget ends of the same numbers, which
+// the agent has not seen, and their tasks run again.
+TEST_F(RunnerGuardTest, EndsOfANewIncarnationAreNotConfirmedBeforeTheyAreSeen) {
+  ASSERT_TRUE(this->WaitUntil([this] { return this->guard->IsRunnerAlive(); }));
+  RunOrder order;
+  order.task = {"5c0e7a21d94b36f8", 0, 0, 0};
+  order.run = 1;
+  this->thread.Call([&] { this->guard->Start(order, "text"); });
+  ASSERT_TRUE(this->WaitUntil([this] { return !this->ends.empty(); }));
+  this->thread.Call([this] {
+    this->guard->ConfirmEnds(this->guard->BornMs(), this->ends.front().number);
+    this->ends.clear();
+  });
+  const int64_t born_ms = this->standin->BornMs();
+  this->standin->Crash();
+  // A start that reaches the next incarnation before the agent knows of it.
+  ASSERT_TRUE(this->WaitUntil([&] {
+    this->standin->Settle();
+    return this->standin->BornMs() != born_ms;
+  }));
+  order.task.index = 1;
+  this->thread.Call([&] { this->guard->Start(order, "text"); });
+  ASSERT_TRUE(this->WaitUntil([&] {
+    return this->guard->BornMs() != born_ms && this->guard->Running().empty();
+  }));
+  EXPECT_EQ(this->ledger.Starts(), 2);
+  EXPECT_EQ(this->ends.size(), 1u);
+  EXPECT_TRUE(this->guard->Crashes().empty());
+}
+
 }  // namespace
 }  // namespace cuminjunction
--- a/testing/support/runner_standin.cc
+++ b/testing/support/runner_standin.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "base/strings.h"
 #include "base/time.h"
 
 namespace cuminjunction {
@@ -14,10 +15,8 @@
 // How often a waiting hold looks for ends that have come due.
 constexpr absl::Duration kLook = absl::Milliseconds(5);
 
-// From the start of a task that crashes the runner to the crash, and from there
-// to the runner's next incarnation.
+// From the start of a task that crashes the runner to the crash.
 constexpr absl::Duration kTimeToCrash = absl::Milliseconds(10);
-constexpr absl::Duration kTimeDown = absl::Milliseconds(400);
 
 HttpResponse Answer(int status, const json& body) {
   HttpResponse response;
@@ -32,8 +31,10 @@
   absl::MutexLock lock(&this->mutex);
   ++this->starts;
   this->started.insert(task.substr(0, task.find('.')));
-  if (++this->running[task] > 1 || this->confirmed.contains(task))
-    ++this->violations;
+  if (++this->running[task] > 1)
+    this->violations.push_back(StrCat(task, " was started while it ran"));
+  else if (this->confirmed.contains(task))
+    this->violations.push_back(StrCat(task, " was started after its end"));
 }
 
 void RunLedger::End(const std::string& task) {
@@ -41,12 +42,33 @@
   --this->running[task];
 }
 
+void RunLedger::Crash(const std::string& task) {
+  absl::MutexLock lock(&this->mutex);
+  --this->running[task];
+  ++this->crashes[task];
+}
+
+int RunLedger::Crashes(const std::string& submission) const {
+  absl::MutexLock lock(&this->mutex);
+  int most = 0;
+  for (const auto& [task, count] : this->crashes) {
+    if (task.starts_with(submission))
+      most = std::max(most, count);
+  }
+  return most;
+}
+
 void RunLedger::ConfirmDone(const std::string& task) {
   absl::MutexLock lock(&this->mutex);
   this->confirmed.insert(task);
 }
 
 int RunLedger::Violations() const {
+  absl::MutexLock lock(&this->mutex);
+  return static_cast<int>(this->violations.size());
+}
+
+std::vector<std::string> RunLedger::ViolationTexts() const {
   absl::MutexLock lock(&this->mutex);
   return this->violations;
 }
@@ -190,6 +212,11 @@
   this->crash_task = task;
 }
 
+void RunnerStandin::Crash() {
+  absl::MutexLock lock(&this->mutex);
+  this->crash_at = SteadyClock().Now();
+}
+
 int RunnerStandin::Crashes() const {
   absl::MutexLock lock(&this->mutex);
   return this->crashes;
@@ -206,7 +233,7 @@
     this->back_at = now + kTimeDown;
     ++this->crashes;
     for (const auto& [task, run] : this->running)
-      this->ledger->End(task);
+      this->ledger->Crash(task);
     this->running.clear();
     this->highest.clear();
     this->ended.clear();
--- a/testing/support/runner_standin.h
+++ b/testing/support/runner_standin.h
@@ -33,20 +33,27 @@
  public:
   void Begin(const std::string& task);
   void End(const std::string& task);
+  // Ends a run of the task with its runner.
+  void Crash(const std::string& task);
   void ConfirmDone(const std::string& task);
 
   int Violations() const;
+  // The tasks that were started wrongly, and whether they ran or had ended.
+  std::vector<std::string> ViolationTexts() const;
   // Starts of all tasks.
   int Starts() const;
+  // The most crashes that one task of this submission has seen.
+  int Crashes(const std::string& submission) const;
   // Submissions of which a task was started.
   std::set<std::string> StartedSubmissions() const;
 
  private:
   mutable absl::Mutex mutex;
   std::map<std::string, int> running;
+  std::map<std::string, int> crashes;
   std::set<std::string> confirmed;
   std::set<std::string> started;
-  int violations = 0;
+  std::vector<std::string> violations;
   int starts = 0;
 };
 
@@ -68,11 +75,17 @@
   // Ends the next runs as failed.
   void FailNext(int count);
 
+  // How long a runner that has crashed is away.
+  static constexpr absl::Duration kTimeDown = absl::Milliseconds(400);
+
   // Crashes shortly after each start of this task, named as in the protocol.
   // It answers nothing for some time, and then runs nothing and has seen
   // nothing, under a new BornMs().
   void CrashOnStartOf(const std::string& task);
 
+  // Crashes now.
+  void Crash();
+
   // Number of crashes so far.
   int Crashes() const;
 
