Test that a VM whose capacity shrinks gets no tasks beyond it

The planner takes it from the runner's heartbeats and counts what is being stopped until its end is listed; nothing showed that. The test passes without a change.

--- a/submission/testing/scheduler_test.cc
+++ b/submission/testing/scheduler_test.cc
@@ -101,6 +101,26 @@
   EXPECT_EQ(this->Plan().starts.size(), 1u);
 }
 
+// Guards against starts on a VM whose capacity has shrunk below what it runs,
+// and against none once it has grown again.
+TEST_F(SchedulerTest, AShrunkenVmGetsTasksOnlyWithinItsCapacity) {
+  WorkerReport report = MakeReport("vm-1");
+  this->scheduler.MergeReport(report, this->now);
+  this->Add(MakeSubmission(kId, {MakeStep(9, 1000)}));
+  const Orders orders = this->Plan();
+  ASSERT_EQ(orders.starts.size(), 4u);
+  report.info.capacity.millicores = 2000;
+  this->scheduler.UpdateInfo("vm-1", report.info, true);
+  this->End(orders.starts[0], RunOutcome::kDone, 1);
+  this->End(orders.starts[1], RunOutcome::kDone, 2);
+  EXPECT_TRUE(this->Plan().starts.empty());
+  this->End(orders.starts[2], RunOutcome::kDone, 3);
+  EXPECT_EQ(this->Plan().starts.size(), 1u);
+  report.info.capacity.millicores = 4000;
+  this->scheduler.UpdateInfo("vm-1", report.info, true);
+  EXPECT_EQ(this->Plan().starts.size(), 2u);
+}
+
 // Guards against a second run of a task that an earlier planner started on a
 // worker that has not reported yet.
 TEST_F(SchedulerTest, UnresolvedTasksWaitForEveryWorkerOfAnEarlierPlanner) {
