Count a start as confirmed only on the runner's word

A pending start whose run is old, or that is being stopped, was counted as confirmed when its runner crashed, as the same time field marks it as resolved by the next report. A task may be given up only for crashes with confirmed starts. Found by reading; CrashTest and RunnerGuardTest pass.

--- a/daemon/runner_guard.cc
+++ b/daemon/runner_guard.cc
@@ -299,7 +299,7 @@
   for (const auto& [task, start] : this->starting) {
     if (this->running.contains(task))
       continue;
-    const bool confirmed = start.accepted_at != absl::InfiniteFuture();
+    const bool confirmed = start.accepted_by != 0;
     lost.push_back({task, start.order.run, confirmed,
                     age_ms(confirmed ? start.accepted_at : start.ordered_at)});
   }
--- a/daemon/runner_guard.h
+++ b/daemon/runner_guard.h
@@ -157,7 +157,7 @@
     // When the runner confirmed the start. The start stays pending until a
     // report that was requested later lists the run.
     absl::Time accepted_at = absl::InfiniteFuture();
-    // The incarnation that confirmed it.
+    // The incarnation that confirmed the start; 0 if none has.
     int64_t accepted_by = 0;
   };
   struct RunDescription {
@@ -230,9 +230,10 @@
   bool runs_known = false;
   bool alive = false;
   bool renewing = false;
-  // When the first of the renewals failed that have failed since the runner's
-  // last answer. A renewal is always in flight and breaks with the runner.
+  // Time of the first failed renewal since the last one that was answered. A
+  // renewal is always in flight and breaks when the runner crashes.
   std::optional<absl::Time> silent_since;
+  // The last incarnation that has said that it drains.
   int64_t draining_born_ms = 0;
   // Runs of an incarnation whose lease has expired. If the runner returns as
   // another incarnation, it has crashed; otherwise it was only cut off.
