Tell by time which incarnation confirmed a start

Cause: it took the incarnation from the answer to a start, but the platform's runners name it only in their lists, so that no pending start counted as confirmed and no task was ever given up. The tests passed since the stand-in's answers to starts and stops named it too.

Change: a flag says that the start was confirmed; one that was confirmed after the first failed call was confirmed by the next incarnation. The stand-in names the incarnation only in lists, as PROTOCOL.md says; with it CrashTest and RunnerGuardTest.EndsOfANewIncarnation... fail on the code before and pass now.

--- a/daemon/runner_guard.cc
+++ b/daemon/runner_guard.cc
@@ -234,11 +234,13 @@
 }
 
 void RunnerGuard::OnNewIncarnation(int64_t new_born_ms, absl::Time now) {
-  // What the new incarnation has confirmed already goes on there.
+  // A start that was confirmed after the first failed call was confirmed by the
+  // new incarnation, and goes on there. Only lists name the incarnation.
   std::map<TaskRef, PendingStart> continuing;
   std::map<TaskRef, RunDescription> continuing_descriptions;
   for (const auto& [task, start] : this->starting) {
-    if (start.accepted_by != new_born_ms)
+    if (!start.confirmed || !this->silent_since ||
+        start.accepted_at < *this->silent_since)
       continue;
     continuing[task] = start;
     continuing_descriptions[task] = this->descriptions[task];
@@ -299,9 +301,9 @@
   for (const auto& [task, start] : this->starting) {
     if (this->running.contains(task))
       continue;
-    const bool confirmed = start.accepted_by != 0;
-    lost.push_back({task, start.order.run, confirmed,
-                    age_ms(confirmed ? start.accepted_at : start.ordered_at)});
+    lost.push_back(
+        {task, start.order.run, start.confirmed,
+         age_ms(start.confirmed ? start.accepted_at : start.ordered_at)});
   }
   for (const LostRun& run : lost)
     this->log->Write(LogLine("run_lost", LogLevel::kWarning)
--- a/daemon/runner_guard.h
+++ b/daemon/runner_guard.h
@@ -157,8 +157,8 @@
     // When the runner confirmed the start. The start stays pending until a
     // report that was requested later lists the run.
     absl::Time accepted_at = absl::InfiniteFuture();
-    // The incarnation that confirmed the start; 0 if none has.
-    int64_t accepted_by = 0;
+    // The runner has confirmed the start, at `accepted_at`.
+    bool confirmed = false;
   };
   struct RunDescription {
     // When the runner confirmed the start; unknown for a run that an earlier
--- a/daemon/runner_guard_starts.cc
+++ b/daemon/runner_guard_starts.cc
@@ -124,7 +124,7 @@
   switch (reply.result) {
     case OrderResult::kDone:
       pending.accepted_at = BootClock().Now();
-      pending.accepted_by = reply.born_ms;
+      pending.confirmed = true;
       this->descriptions[task].started_at = pending.accepted_at;
       this->start_seconds.Observe(pending.accepted_at - pending.ordered_at);
       this->handlers.on_started(task);
--- a/testing/support/runner_standin.cc
+++ b/testing/support/runner_standin.cc
@@ -122,9 +122,7 @@
 }
 
 HttpResponse RunnerStandin::Refuse(const std::string& reason) const {
-  return Answer(409, {{"clockMs", this->ClockMs()},
-                      {"born", this->born_ms},
-                      {"reason", reason}});
+  return Answer(409, {{"clockMs", this->ClockMs()}, {"reason", reason}});
 }
 
 HttpResponse RunnerStandin::Handle(const HttpRequest& request) {
@@ -170,8 +168,7 @@
     if (task == this->crash_task)
       this->crash_at = SteadyClock().Now() + kTimeToCrash;
   }
-  HttpResponse response =
-      Answer(200, {{"clockMs", this->ClockMs()}, {"born", this->born_ms}});
+  HttpResponse response = Answer(200, {{"clockMs", this->ClockMs()}});
   if (this->lose > 0) {
     --this->lose;
     response.status = 0;
@@ -185,7 +182,7 @@
   const auto found = this->running.find(task);
   if (found != this->running.end() && found->second.run <= run)
     this->Finish(task, "stopped");
-  return Answer(200, {{"clockMs", this->ClockMs()}, {"born", this->born_ms}});
+  return Answer(200, {{"clockMs", this->ClockMs()}});
 }
 
 void RunnerStandin::Finish(const std::string& task, const std::string& how) {
