Wait for unreported failures before a last attempt

Cause: after a takeover a task waits until every worker has reported, unless one has reported it as running. If that run then fails, the task was started at once, although another worker may hold the end of an earlier failed run that the former planner could not store.

Change: after such a failure the task waits again if all runs that the planner of the failed run can have started would reach the limit. The new test fails without this change.

Measured: SchedulerTakeoverTest.TheLastAttemptWaitsForFailures... and all tests of the module pass.

--- a/submission/active.cc
+++ b/submission/active.cc
@@ -116,6 +116,10 @@
   return {false, static_cast<uint32_t>(epoch - 1) * kRunNumbersPerPlanner};
 }
 
+uint32_t RunsOfPlannerUpTo(uint32_t run) {
+  return run == 0 ? 0 : (run - 1) % kRunNumbersPerPlanner + 1;
+}
+
 absl::Time DueTime(const ActiveSubmission& active, uint32_t occurrence) {
   const Submission& submission = active.submission;
   const int64_t wall_ms =
--- a/submission/active.h
+++ b/submission/active.h
@@ -112,6 +112,10 @@
 // epochs may have started it.
 PriorRuns UnresolvedRunsBefore(uint64_t epoch);
 
+// Number of the runs up to this one that its planner can have started. No other
+// planner uses their numbers.
+uint32_t RunsOfPlannerUpTo(uint32_t run);
+
 // Creates the state of a submission from its stored progress. `now` is of the
 // boot clock and `wall` of the system clock, at the same moment.
 ActiveSubmission Activate(const Submission& submission,
--- a/submission/scheduler.cc
+++ b/submission/scheduler.cc
@@ -21,6 +21,15 @@
   return std::find(runs.begin(), runs.end(), run) != runs.end();
 }
 
+// The number of failures of the task if all runs failed that the planner of
+// this run can have started before.
+size_t MostFailures(const TaskSlot& slot, uint32_t run) {
+  size_t failures = slot.failed_runs.size();
+  for (uint32_t i = 0; i < RunsOfPlannerUpTo(run); ++i)
+    failures += Contains(slot.failed_runs, run - i) ? 0 : 1;
+  return failures;
+}
+
 }  // namespace
 
 void Scheduler::SetPolicy(const FleetPolicy& policy) {
@@ -256,8 +265,15 @@
     return;
   counter->failed_runs.push_back(ended_run.run);
   this->dirty.insert(active->submission.id);
-  if (counter->failed_runs.size() >= active->queue.max_attempts)
+  if (counter->failed_runs.size() >= active->queue.max_attempts) {
     this->EndSubmission(active, SubmissionState::kFailed);
+    return;
+  }
+  // A worker that has not reported since a takeover may hold failures of
+  // earlier runs that could not be stored.
+  if (!active->prior_runs.resolved &&
+      MostFailures(*counter, ended_run.run) >= active->queue.max_attempts)
+    slot->resolved = false;
 }
 
 void Scheduler::CompleteTask(ActiveSubmission* active, const TaskRef& task) {
--- a/submission/testing/scheduler_takeover_test.cc
+++ b/submission/testing/scheduler_takeover_test.cc
@@ -182,5 +182,29 @@
   EXPECT_FALSE(this->scheduler.MayGrant("vm-1"));
 }
 
+// Guards against one attempt too many after a takeover: a failure that the
+// earlier planner could not store is known only to a worker that has not
+// reported yet. Seen on lakeshore-pack-grown mix 1073843027895: BUDGET 1.
+TEST_F(SchedulerTakeoverTest,
+       TheLastAttemptWaitsForFailuresThatAreNotReportedYet) {
+  this->scheduler.ExpectWorker("vm-1", this->now + absl::Seconds(20));
+  this->scheduler.ExpectWorker("vm-2", this->now + absl::Seconds(20));
+  this->Add(MakeSubmission(kId, {MakeStep(1, 1000)}), UnresolvedRunsBefore(2));
+  WorkerReport report = MakeReport("vm-1");
+  const TaskRef task{kId, 0, 0, 0};
+  report.running.push_back({task, 2, "", 0});
+  this->scheduler.MergeReport(report, this->now);
+  this->scheduler.OnEnded("vm-1", {1, task, 2, RunOutcome::kFailed, ""},
+                          this->now);
+  EXPECT_TRUE(this->Plan().starts.empty());
+  report = MakeReport("vm-2");
+  report.ended.push_back({1, task, 1, RunOutcome::kFailed, ""});
+  this->scheduler.MergeReport(report, this->now);
+  EXPECT_TRUE(this->Plan().starts.empty());
+  const auto dirty = this->scheduler.TakeDirty();
+  ASSERT_EQ(dirty.size(), 1u);
+  EXPECT_EQ(dirty[0].second.state, SubmissionState::kFailed);
+}
+
 }  // namespace
 }  // namespace cuminjunction
