--- a/submission/scheduler.h
+++ b/submission/scheduler.h
@@ -301,7 +301,7 @@
   void RecordCrash(const std::string& vm,
                    const RunnerCrash& crash,
                    absl::Time now);
-  void GiveUpGuilty(const std::vector<TaskRef>& accused);
+  void GiveUpCulprits(const std::vector<TaskRef>& affected);
   // Removes these crashes from the records of all tasks.
   void ExplainCrashes(const std::vector<CrashRecord>& crashes);
   using WorkerCost = std::function<std::optional<double>(Worker* worker)>;
--- a/submission/scheduler_crashes.cc
+++ b/submission/scheduler_crashes.cc
@@ -52,7 +52,7 @@
   if (known.size() > kMaxKnownCrashes)
     known.erase(known.begin());
   const std::vector<CrashEvidence> evidence = JudgeCrash(crash.runs);
-  std::vector<TaskRef> accused;
+  std::vector<TaskRef> affected;
   for (size_t i = 0; i < crash.runs.size(); ++i) {
     const LostRun& lost = crash.runs[i];
     ActiveSubmission* active = this->FindActive(lost.task.submission);
@@ -69,18 +69,18 @@
     slot->crashed_at = now;
     slot->failed_vm = vm;
     this->dirty.insert(lost.task.submission);
-    accused.push_back(lost.task);
+    affected.push_back(lost.task);
   }
-  this->GiveUpGuilty(accused);
+  this->GiveUpCulprits(affected);
 }
 
-void Scheduler::GiveUpGuilty(const std::vector<TaskRef>& accused) {
+void Scheduler::GiveUpCulprits(const std::vector<TaskRef>& affected) {
   for (;;) {
     // The one with the strongest evidence first: its end explains the crashes,
     // which then are no evidence against the others.
-    const TaskRef* guilty = nullptr;
+    const TaskRef* culprit = nullptr;
     std::tuple<size_t, size_t> strongest;
-    for (const TaskRef& task : accused) {
+    for (const TaskRef& task : affected) {
       ActiveSubmission* active = this->FindActive(task.submission);
       const TaskSlot* slot = FindSlot(active, task);
       if (slot == nullptr || !ShouldGiveUp(slot->crashes))
@@ -92,18 +92,18 @@
                         }));
       const std::tuple<size_t, size_t> strength(only_suspect,
                                                 slot->crashes.size());
-      if (guilty == nullptr || strength > strongest) {
-        guilty = &task;
+      if (culprit == nullptr || strength > strongest) {
+        culprit = &task;
         strongest = strength;
       }
     }
-    if (guilty == nullptr)
+    if (culprit == nullptr)
       return;
-    ActiveSubmission* active = this->FindActive(guilty->submission);
-    std::vector<CrashRecord> crashes = FindSlot(active, *guilty)->crashes;
+    ActiveSubmission* active = this->FindActive(culprit->submission);
+    std::vector<CrashRecord> crashes = FindSlot(active, *culprit)->crashes;
     this->EndSubmission(active, SubmissionState::kFailed);
     this->ExplainCrashes(crashes);
-    this->given_up.push_back({*guilty, std::move(crashes)});
+    this->given_up.push_back({*culprit, std::move(crashes)});
   }
 }
 
