--- a/daemon/testing/fleet_fixture.h
+++ b/daemon/testing/fleet_fixture.h
@@ -107,11 +107,14 @@
   }
 
   // Sends a heartbeat of the runner to its agent. Returns the HTTP status.
-  int SendHeartbeat(const Settings& agent, const RunnerStandin& runner) {
+  int SendHeartbeat(const Settings& agent,
+                    const RunnerStandin& runner,
+                    const std::string& state = "ready") {
     return this
         ->Call(agent.fleet.heartbeats, "POST",
-               StrCat("/v1/instances/i-", agent.name, "/heartbeat"),
-               StrCat(R"({"service":"line","state":"ready","zone":"domain",)",
+               StrCat("/v1/instances/", runner.Id(), "/heartbeat"),
+               StrCat(R"({"service":"line","state":")", state,
+                      R"(","zone":"domain",)",
                       R"("capacity":{"cpu":2000,"memMb":1000,"gpu":0},)",
                       R"("labels":["a","r1"],"sequence":)", ++this->sequence,
                       R"(,"born":)", runner.BornMs(), "}"))
--- a/daemon/testing/fleet_log_test.cc
+++ b/daemon/testing/fleet_log_test.cc
@@ -206,7 +206,7 @@
       {{"event", "worker_reported"}, {"vm", "agent-2"}, {"alive", true}}));
   // The runner leaves, and its VM is stopped.
   ASSERT_EQ(this->Call(leaving_settings.fleet.heartbeats, "POST",
-                       "/v1/instances/i-agent-2/deregister")
+                       StrCat("/v1/instances/", leaving->Id(), "/deregister"))
                 .status,
             200);
   leaving = nullptr;
--- a/daemon/testing/fleet_test.cc
+++ b/daemon/testing/fleet_test.cc
@@ -121,13 +121,13 @@
                 R"(,"advice":{"decideMs":10,"eachMs":1,"validMs":60000})");
   this->store->Put("op", "", "config", policy);
   auto adviser = std::move(AdviserStandin::Start().value());
-  adviser->Allow("i-agent-2", "ticket-2");
   adviser->RefuseNext(1);
   RunLedger forbidden;
   auto runner_1 = std::move(
       RunnerStandin::Start(&forbidden, absl::Milliseconds(50)).value());
   auto runner_2 = std::move(
       RunnerStandin::Start(&this->ledger, absl::Milliseconds(50)).value());
+  adviser->Allow(runner_2->Id(), "ticket-2");
   runner_1->RequireTicket("none");
   runner_2->RequireTicket("ticket-2");
   const Settings entry_settings = this->EntrySettings("entry-1");
--- a/testing/soak_main.cc
+++ b/testing/soak_main.cc
@@ -345,7 +345,8 @@
         static_cast<void>(client.Send(
             StrCat("http://", ToString(node->heartbeats)),
             MakeRequest(
-                "POST", StrCat("/v1/instances/i-", node->name, "/heartbeat"),
+                "POST",
+                StrCat("/v1/instances/", node->runner->Id(), "/heartbeat"),
                 StrCat(R"({"service":"line","state":"ready","zone":"domain",)",
                        R"("capacity":{"cpu":4000,"memMb":1000,"gpu":0},)",
                        R"("labels":["a","r1"],"sequence":)", ++this->sequence,
--- a/testing/support/runner_standin.cc
+++ b/testing/support/runner_standin.cc
@@ -1,6 +1,7 @@
 #include "testing/support/runner_standin.h"
 
 #include <algorithm>
+#include <atomic>
 #include <nlohmann/json.hpp>
 
 #include "base/strings.h"
@@ -15,6 +16,14 @@
 // How often a waiting hold looks for ends that have come due.
 constexpr absl::Duration kLook = absl::Milliseconds(5);
 
+// Names the incarnation that a call is meant for, as HttpRequest has it.
+constexpr char kTargetHeader[] = "x-cuminjunction-target-instance";
+
+std::string NewId() {
+  static std::atomic<int> last = 0;
+  return StrCat("i-", ++last);
+}
+
 // From the start of a task that crashes the runner to the crash.
 constexpr absl::Duration kTimeToCrash = absl::Milliseconds(10);
 
@@ -78,6 +87,19 @@
   return this->started;
 }
 
+int RunLedger::Confirmed() const {
+  absl::MutexLock lock(&this->mutex);
+  return static_cast<int>(this->confirmed.size());
+}
+
+int RunLedger::Running() const {
+  absl::MutexLock lock(&this->mutex);
+  int count = 0;
+  for (const auto& [task, runs] : this->running)
+    count += runs;
+  return count;
+}
+
 int RunLedger::Starts() const {
   absl::MutexLock lock(&this->mutex);
   return this->starts;
@@ -90,6 +112,7 @@
   runner->ledger = ledger;
   runner->run_time = run_time;
   runner->born_ms = absl::ToUnixMillis(absl::Now());
+  runner->id = NewId();
   HttpServerOptions options;
   // Holds wait, so each connection has a thread.
   options.threads = 0;
@@ -126,9 +149,6 @@
 }
 
 HttpResponse RunnerStandin::Handle(const HttpRequest& request) {
-  const json body = json::parse(request.body, nullptr, false);
-  if (!body.is_object())
-    return Answer(400, json::object());
   int64_t wait_ms = 0;
   int64_t last_seen = 0;
   {
@@ -136,24 +156,128 @@
     this->SettleLocked();
     if (this->IsDown())
       return Answer(0, json::object());
-    if (body.value("fence", int64_t{0}) < this->fence)
-      return this->Refuse("fence");
-    this->fence = body.value("fence", int64_t{0});
-    this->lease_until_ms =
-        std::max(this->lease_until_ms, body.value("untilMs", int64_t{0}));
-    if (request.path == "/v1/run-start" &&
-        body.value("ticket", "") != this->required_ticket)
-      return this->Refuse("ticket");
-    if (request.path == "/v1/run-start")
-      return this->Begin(body["task"], body["run"]);
-    if (request.path == "/v1/run-stop")
-      return this->Stop(body["task"], body["run"]);
-    wait_ms = body.value("waitMs", int64_t{0});
-    last_seen = body.value("lastSeen", int64_t{0});
+    if (this->DelayCall(request))
+      return Answer(0, json::object());
+    HttpResponse response = this->CarryOut(request, &last_seen, &wait_ms);
+    if (request.path != "/v1/hold" || response.status != 200)
+      return response;
   }
   return this->Hold(last_seen, wait_ms);
 }
 
+HttpResponse RunnerStandin::CarryOut(const HttpRequest& request,
+                                     int64_t* last_seen,
+                                     int64_t* wait_ms) {
+  const json body = json::parse(request.body, nullptr, false);
+  if (!body.is_object())
+    return Answer(400, json::object());
+  const auto target = request.headers.find(kTargetHeader);
+  if (target != request.headers.end() && target->second != this->id)
+    return Answer(421, json::object());
+  if (body.value("fence", int64_t{0}) < this->fence)
+    return this->Refuse("fence");
+  this->fence = body.value("fence", int64_t{0});
+  this->lease_until_ms =
+      std::max(this->lease_until_ms, body.value("untilMs", int64_t{0}));
+  if (request.path == "/v1/run-start" &&
+      body.value("ticket", "") != this->required_ticket)
+    return this->Refuse("ticket");
+  if (request.path == "/v1/run-start")
+    return this->Begin(body["task"], body["run"]);
+  if (request.path == "/v1/run-stop")
+    return this->Stop(body["task"], body["run"]);
+  *wait_ms = body.value("waitMs", int64_t{0});
+  *last_seen = body.value("lastSeen", int64_t{0});
+  return Answer(200, json::object());
+}
+
+bool RunnerStandin::DelayCall(const HttpRequest& request) {
+  int& keep = this->keep_by_path[request.path];
+  if (keep > 0) {
+    --keep;
+    this->late_calls.push_back({absl::InfiniteFuture(), request});
+    return true;
+  }
+  if (std::uniform_real_distribution<double>(0, 1)(this->delay_random) >=
+      this->delayed_share)
+    return false;
+  this->late_calls.push_back({SteadyClock().Now() + this->delay, request});
+  return true;
+}
+
+void RunnerStandin::CarryOutDue(absl::Time now) {
+  if (this->IsDown())
+    return;
+  std::vector<LateCall> due;
+  for (auto call = this->late_calls.begin(); call != this->late_calls.end();) {
+    if (call->due > now) {
+      ++call;
+      continue;
+    }
+    due.push_back(std::move(*call));
+    call = this->late_calls.erase(call);
+  }
+  for (const LateCall& call : due) {
+    int64_t last_seen = 0;
+    int64_t wait_ms = 0;
+    if (this->CarryOut(call.request, &last_seen, &wait_ms).status == 200)
+      this->ForgetEnds(last_seen);
+  }
+}
+
+std::string RunnerStandin::Id() const {
+  absl::MutexLock lock(&this->mutex);
+  return this->id;
+}
+
+void RunnerStandin::KeepId() {
+  absl::MutexLock lock(&this->mutex);
+  this->keep_id = true;
+}
+
+void RunnerStandin::DelayCalls(double share,
+                               absl::Duration delay,
+                               uint32_t seed) {
+  absl::MutexLock lock(&this->mutex);
+  this->delayed_share = share;
+  this->delay = delay;
+  this->delay_random.seed(seed);
+}
+
+void RunnerStandin::KeepNextCalls(const std::string& path, int count) {
+  absl::MutexLock lock(&this->mutex);
+  this->keep_by_path[path] = count;
+}
+
+void RunnerStandin::CarryOutKept() {
+  absl::MutexLock lock(&this->mutex);
+  for (LateCall& call : this->late_calls)
+    call.due = absl::InfinitePast();
+  this->SettleLocked();
+}
+
+int RunnerStandin::KeptCalls() const {
+  absl::MutexLock lock(&this->mutex);
+  return static_cast<int>(this->late_calls.size());
+}
+
+int RunnerStandin::KeptCalls(const std::string& path) const {
+  absl::MutexLock lock(&this->mutex);
+  return static_cast<int>(std::count_if(
+      this->late_calls.begin(), this->late_calls.end(),
+      [&](const LateCall& call) { return call.request.path == path; }));
+}
+
+int RunnerStandin::Stops() const {
+  absl::MutexLock lock(&this->mutex);
+  return this->stops;
+}
+
+void RunnerStandin::CutShortNextHolds(int count) {
+  absl::MutexLock lock(&this->mutex);
+  this->cut_short_holds = count;
+}
+
 HttpResponse RunnerStandin::Begin(const std::string& task, int64_t run) {
   const auto found = this->running.find(task);
   const bool there = found != this->running.end() && found->second.run == run;
@@ -177,6 +301,7 @@
 }
 
 HttpResponse RunnerStandin::Stop(const std::string& task, int64_t run) {
+  ++this->stops;
   int64_t& highest_run = this->highest[task];
   highest_run = std::max(highest_run, run);
   const auto found = this->running.find(task);
@@ -241,12 +366,15 @@
   if (now >= this->back_at) {
     this->back_at = absl::InfiniteFuture();
     this->born_ms = absl::ToUnixMillis(absl::Now());
+    if (!this->keep_id)
+      this->id = NewId();
   }
 }
 
 void RunnerStandin::SettleLocked() {
   const absl::Time now = SteadyClock().Now();
   this->CrashIfDue(now);
+  this->CarryOutDue(now);
   const bool lapsed = this->lease_until_ms <= this->ClockMs();
   std::vector<std::pair<std::string, std::string>> due;
   for (const auto& [task, run] : this->running) {
@@ -263,6 +391,15 @@
     this->Finish(task, how);
 }
 
+void RunnerStandin::ForgetEnds(int64_t last_seen) {
+  for (const End& end : this->ended) {
+    if (end.number <= last_seen && end.how == "done")
+      this->ledger->ConfirmDone(end.task);
+  }
+  std::erase_if(this->ended,
+                [&](const End& end) { return end.number <= last_seen; });
+}
+
 HttpResponse RunnerStandin::Hold(int64_t last_seen, int64_t wait_ms) {
   const absl::Time until = SteadyClock().Now() + absl::Milliseconds(wait_ms);
   for (;;) {
@@ -272,12 +409,7 @@
       this->SettleLocked();
       if (this->IsDown() || this->born_ms != asked_born_ms)
         return Answer(0, json::object());
-      for (const End& end : this->ended) {
-        if (end.number <= last_seen && end.how == "done")
-          this->ledger->ConfirmDone(end.task);
-      }
-      std::erase_if(this->ended,
-                    [&](const End& end) { return end.number <= last_seen; });
+      this->ForgetEnds(last_seen);
       if (!this->ended.empty() || SteadyClock().Now() >= until) {
         json running_rows = json::array();
         for (const auto& [task, run] : this->running)
@@ -289,6 +421,10 @@
                                              {"born", this->born_ms},
                                              {"runningCount", running_rows},
                                              {"ended", ended_rows}});
+        if (this->cut_short_holds > 0) {
+          --this->cut_short_holds;
+          response = Answer(200, {{"clockMs", this->ClockMs()}});
+        }
         if (this->lose_holds > 0) {
           --this->lose_holds;
           response.status = 0;
--- a/testing/support/runner_standin.h
+++ b/testing/support/runner_standin.h
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 #include <utility>
@@ -42,6 +43,10 @@
   std::vector<std::string> ViolationTexts() const;
   // Starts of all tasks.
   int Starts() const;
+  // Runs that have not ended.
+  int Running() const;
+  // Tasks whose end as done was confirmed.
+  int Confirmed() const;
   // The most crashes that one task of this submission has seen.
   int Crashes(const std::string& submission) const;
   // Submissions of which a task was started.
@@ -64,6 +69,14 @@
                                                       absl::Duration run_time);
 
   Endpoint Address() const { return {"127.0.0.1", this->server->Port()}; }
+
+  // The id of the present incarnation, which its heartbeats name. A call that
+  // names another one is refused.
+  std::string Id() const;
+
+  // Keeps the id across crashes from now on; by default each incarnation has
+  // its own.
+  void KeepId();
   int64_t BornMs() const;
 
   // Ends what has come due or lapsed. Without it that is done at the next call.
@@ -95,6 +108,28 @@
   // The same for calls that extend the lease.
   void LoseHoldReplies(int count);
 
+  // Carries out a share of the calls from now on only after this delay, and
+  // answers none of these. The incarnation that is up by then carries them out.
+  // Several calls of this method draw the calls from one sequence by the seed.
+  void DelayCalls(double share, absl::Duration delay, uint32_t seed);
+
+  // Leaves the next calls of this path without an answer, and keeps them until
+  // CarryOutKept().
+  void KeepNextCalls(const std::string& path, int count);
+
+  // Carries out the calls that were kept.
+  void CarryOutKept();
+
+  // Number of calls, or of those of one path, that are kept or delayed.
+  int KeptCalls() const;
+  int KeptCalls(const std::string& path) const;
+
+  // Number of orders to stop a run that were carried out.
+  int Stops() const;
+
+  // Answers the next calls that read the lists with the clock alone.
+  void CutShortNextHolds(int count);
+
  private:
   struct Run {
     int64_t run = 0;
@@ -107,10 +142,24 @@
     std::string how;
   };
 
+  // A call that is carried out later.
+  struct LateCall {
+    absl::Time due;
+    HttpRequest request;
+  };
+
   HttpResponse Handle(const HttpRequest& request);
+  // Carries out a call. Only a hold may wait; its wait is returned.
+  HttpResponse CarryOut(const HttpRequest& request,
+                        int64_t* last_seen,
+                        int64_t* wait_ms);
+  // True if the call is to be carried out later; takes note of it then.
+  bool DelayCall(const HttpRequest& request);
+  void CarryOutDue(absl::Time now);
   HttpResponse Begin(const std::string& task, int64_t run);
   HttpResponse Stop(const std::string& task, int64_t run);
   HttpResponse Hold(int64_t last_seen, int64_t wait_ms);
+  void ForgetEnds(int64_t last_seen);
   // Ends what is due, and everything once the lease has passed.
   void SettleLocked();
   void Finish(const std::string& task, const std::string& how);
@@ -130,10 +179,19 @@
   int lose = 0;
   int fail = 0;
   int lose_holds = 0;
+  int cut_short_holds = 0;
+  std::map<std::string, int> keep_by_path;
+  double delayed_share = 0;
+  absl::Duration delay;
+  std::mt19937 delay_random;
+  std::vector<LateCall> late_calls;
+  std::string id;
+  bool keep_id = false;
   std::string crash_task;
   absl::Time crash_at = absl::InfiniteFuture();
   absl::Time back_at = absl::InfiniteFuture();
   int crashes = 0;
+  int stops = 0;
   int64_t next_end = 1;
   std::map<std::string, Run> running;
   std::map<std::string, int64_t> highest;
