Do not send a start again after its stop

A start without an answer was repeated every 80 ms also after the planner had ordered its stop; if the stop had no answer either, a repeated start was carried out. A start that is to be stopped is not sent any more: the stop is repeated until the runner answers, and the next report then shows whether the run had started.

LateOrdersTest.AStartIsNotSentAgainAfterItsStop failed before (one start after the cancellation) and passes.

--- a/daemon/runner_guard_starts.cc
+++ b/daemon/runner_guard_starts.cc
@@ -87,6 +87,9 @@
 
 void RunnerGuard::SendStart(const TaskRef& task) {
   const PendingStart& pending = this->starting.at(task);
+  // The stop that is under way resolves the start.
+  if (pending.abandon_outcome)
+    return;
   const auto lease_expiry_ms = this->NextLeaseExpiryMs(BootClock().Now());
   if (!lease_expiry_ms) {
     this->AbandonStart(task, StartOutcome::kRefused);
@@ -171,6 +174,8 @@
 void RunnerGuard::AbandonStart(const TaskRef& task, StartOutcome outcome) {
   const auto found = this->starting.find(task);
   PendingStart& pending = found->second;
+  if (pending.abandon_outcome)
+    return;
   const uint32_t run = pending.order.run;
   if (pending.unresolved) {
     // The runner may still carry out a copy of the order; it refuses the run
@@ -186,9 +191,11 @@
 
 void RunnerGuard::Stop(const TaskRef& task, uint32_t run) {
   const auto found = this->starting.find(task);
-  if (found != this->starting.end() && found->second.order.run == run)
+  const bool pending =
+      found != this->starting.end() && found->second.order.run == run;
+  if (pending)
     found->second.abandon_outcome = StartOutcome::kRefused;
-  this->SendStop(task, run, false);
+  this->SendStop(task, run, pending);
 }
 
 void RunnerGuard::SendStop(const TaskRef& task,
