Do not send a start again to a runner that drains

Seen by the users as DRAIN: a start on a runner 4.4 s after its agent had acknowledged that it leaves. A start without an answer was repeated until the runner answered, also after the notice.

LateOrdersTest.AStartIsNotSentAgainToARunnerThatDrains failed before (one start after the notice) and passes.

--- a/daemon/runner_guard_starts.cc
+++ b/daemon/runner_guard_starts.cc
@@ -120,10 +120,12 @@
     if (found == this->starting.end() || found->second.order.run != run)
       return;
     // The first list of the next incarnation tells whether the run is there.
-    if (this->alive)
-      this->SendStart(task);
-    else
+    if (!this->alive)
       this->RetryStart(task, run);
+    else if (this->IsDraining())
+      this->AbandonStart(task, StartOutcome::kRefused);
+    else
+      this->SendStart(task);
   });
 }
 
