Refuse a start that was planned for another incarnation

The same class between planner and agent: a StartRuns named no incarnation, so that one on its way while the agent detected a crash was carried out by the next incarnation, which may have other labels or less room. It names the birth of the runner that the planner knows, and the agent refuses it for any other.

Found by reading; not seen in a run. RunnerGuardTest. AStartForAnotherIncarnationIsRefused fails without the comparison.

--- a/daemon/fleet_agent.cc
+++ b/daemon/fleet_agent.cc
@@ -234,7 +234,7 @@
                              .Add("submission", order.task.submission));
         continue;
       }
-      this->guard->Start(order, starts->texts[order.text]);
+      this->guard->Start(starts->born_ms, order, starts->texts[order.text]);
     }
   } else if (const auto* stops = std::get_if<StopRuns>(&message)) {
     for (const StopRun& stop : stops->runs)
--- a/daemon/fleet_message.h
+++ b/daemon/fleet_message.h
@@ -115,12 +115,15 @@
   uint64_t epoch = 0;
   // Sequence number of the StartRuns messages on one connection, from 1.
   uint64_t number = 0;
+  // RunnerInfo::born_ms of the incarnation that the runs are meant for. The
+  // next one may have other labels or less capacity.
+  int64_t born_ms = 0;
   std::vector<std::string> texts;
   std::vector<RunOrder> runs;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->epoch, this->number, this->texts, this->runs);
+    archive(this->epoch, this->number, this->born_ms, this->texts, this->runs);
   }
 };
 
--- a/daemon/fleet_planner.cc
+++ b/daemon/fleet_planner.cc
@@ -291,6 +291,7 @@
     message->epoch = this->lease.Epoch();
     SentStarts& node_starts = this->sent_starts[node];
     message->number = ++node_starts.last_number;
+    message->born_ms = this->scheduler->FindWorker(node)->info.born_ms;
     for (const RunOrder& order : message->runs)
       node_starts.runs.push_back({message->number, order.task, order.run});
     while (node_starts.runs.size() > kMaxSentStarts)
--- a/daemon/runner_guard.h
+++ b/daemon/runner_guard.h
@@ -7,7 +7,7 @@
 //   RunnerGuard guard(&context, &runner, options, &log, &metrics, handlers);
 //   guard.Begin();
 //   guard.SetGrantDeadline(deadline);  // from the planner's last ping
-//   guard.Start(order, text);
+//   guard.Start(born_ms, order, text);
 //   guard.ConfirmEnds(born_ms, 57);
 //
 // Only the guard sends orders to the runner. It never extends the runner's
@@ -85,9 +85,12 @@
   // keep its runs.
   void SetGrantDeadline(absl::Time deadline);
 
-  // Starts a run. Calls on_refused at once while the runner is lost or the
-  // grant has less than 300 ms left.
-  void Start(const RunOrder& order, const std::string& text);
+  // Starts a run on the incarnation `ordered_born_ms`. Calls on_refused at once
+  // if that is not the present one, while the runner is lost or drains, or if
+  // the grant has less than 300 ms left.
+  void Start(int64_t ordered_born_ms,
+             const RunOrder& order,
+             const std::string& text);
 
   // Stops a run, and abandons its start if that is pending.
   void Stop(const TaskRef& task, uint32_t run);
--- a/daemon/runner_guard_starts.cc
+++ b/daemon/runner_guard_starts.cc
@@ -68,9 +68,12 @@
   }
 }
 
-void RunnerGuard::Start(const RunOrder& order, const std::string& text) {
+void RunnerGuard::Start(int64_t ordered_born_ms,
+                        const RunOrder& order,
+                        const std::string& text) {
   const absl::Time now = BootClock().Now();
-  if (!this->alive || this->IsDraining() || this->IncarnationId().empty() ||
+  if (!this->alive || ordered_born_ms != this->born_ms || this->IsDraining() ||
+      this->IncarnationId().empty() ||
       this->grant_deadline - now < kMinGrantLeft) {
     this->handlers.on_refused(order.task, order.run, StartOutcome::kRefused);
     return;
--- a/daemon/testing/runner_guard_test.cc
+++ b/daemon/testing/runner_guard_test.cc
@@ -91,7 +91,7 @@
     RunOrder order;
     order.task = task;
     order.run = 1;
-    this->guard->Start(order, "text");
+    this->guard->Start(this->guard->BornMs(), order, "text");
   });
   ASSERT_TRUE(this->WaitUntil([this] { return !this->ends.empty(); }));
   this->thread.Call([this] {
@@ -110,12 +110,27 @@
     RunOrder order;
     order.task = {"5c0e7a21d94b36f8", 0, 0, 0};
     order.run = 1;
-    this->guard->Start(order, "text");
+    this->guard->Start(this->guard->BornMs(), order, "text");
     EXPECT_EQ(this->refused, 1);
   });
   EXPECT_EQ(this->ledger.Starts(), 0);
 }
 
+// Guards against a task on a runner without the label or the room that it
+// needs: the planner has ordered its start for an earlier incarnation, which
+// had them.
+TEST_F(RunnerGuardTest, AStartForAnotherIncarnationIsRefused) {
+  ASSERT_TRUE(this->WaitUntil([this] { return this->guard->IsRunnerAlive(); }));
+  this->thread.Call([this] {
+    RunOrder order;
+    order.task = {"5c0e7a21d94b36f8", 0, 0, 0};
+    order.run = 1;
+    this->guard->Start(this->guard->BornMs() - 1, order, "text");
+    EXPECT_EQ(this->refused, 1);
+    EXPECT_TRUE(this->guard->Running().empty());
+  });
+}
+
 // Guards against work that waits forever on a runner that has crashed for good:
 // as long as the planner extended the grant, each call that could not reach the
 // runner moved the assumed expiry of its lease.
@@ -145,7 +160,7 @@
     RunOrder order;
     order.task = {"5c0e7a21d94b36f8", 0, 0, 0};
     order.run = 1;
-    this->guard->Start(order, "text");
+    this->guard->Start(this->guard->BornMs(), order, "text");
   });
   ASSERT_TRUE(this->WaitUntil([this] { return !this->ends.empty(); }));
   this->thread.Call([this] {
@@ -165,7 +180,8 @@
   RunOrder order;
   order.task = {"5c0e7a21d94b36f8", 0, 0, 0};
   order.run = 1;
-  this->thread.Call([&] { this->guard->Start(order, "text"); });
+  this->thread.Call(
+      [&] { this->guard->Start(this->guard->BornMs(), order, "text"); });
   ASSERT_TRUE(this->WaitUntil([this] { return !this->ends.empty(); }));
   this->thread.Call([this] {
     this->guard->ConfirmEnds(this->guard->BornMs(), this->ends.front().number);
@@ -180,7 +196,8 @@
     return this->standin->BornMs() != born_ms;
   }));
   order.task.index = 1;
-  this->thread.Call([&] { this->guard->Start(order, "text"); });
+  this->thread.Call(
+      [&] { this->guard->Start(this->guard->BornMs(), order, "text"); });
   ASSERT_TRUE(this->WaitUntil([&] {
     return this->guard->BornMs() != born_ms && this->guard->Running().empty();
   }));
