Log long-running tasks that do not run, with the causes

The gauge planner_held_tasks counts them. A start that is ordered and not refused counts as a run, since agents do not tell the planner which runs a runner lists; the agent has to tell of those.

Tests: SchedulerHeldTest.AHeldTaskIsReportedWithTheCauses, ATaskWhoseStartsAreRefusedIsReported, FleetLogTest.AHeldTaskIsLoggedWithTheCauses.

--- a/daemon/fleet_planner.cc
+++ b/daemon/fleet_planner.cc
@@ -81,6 +81,7 @@
       stops_total(metrics->GetCounter("planner_stops_total")),
       ends_total(metrics->GetCounter("planner_ends_total")),
       takeovers_total(metrics->GetCounter("planner_takeovers_total")),
+      held_tasks(metrics->GetGauge("planner_held_tasks")),
       start_wait_seconds(metrics->GetHistogram("planner_start_wait_seconds")),
       store_wait_seconds(metrics->GetHistogram("planner_store_wait_seconds")),
       load_seconds(metrics->GetHistogram("planner_load_seconds")),
@@ -192,6 +193,7 @@
   this->RemoveExpiredSubmissions(now);
   this->SendWaitingCounts(now);
   this->PlanAndSend();
+  this->LogHeldTasks(now);
 }
 
 absl::Duration FleetPlanner::CurrentGrant(absl::Time now) const {
@@ -246,6 +248,8 @@
   this->sent_starts.clear();
   this->queries.clear();
   this->stale_progress.clear();
+  this->held_lines.clear();
+  this->held_tasks.Set(0);
   this->reading_submissions = false;
   this->feeds_in_progress.clear();
   this->disconnected_since = absl::InfinitePast();
--- a/daemon/fleet_planner.h
+++ b/daemon/fleet_planner.h
@@ -141,6 +141,9 @@
   void OnStoreRequest(const std::string& vm, const StoreRequest& request);
   void OnWorkerNotice(const std::string& vm, WorkerNotice&& notice);
   void DescribeTo(const std::string& vm);
+  // Writes lines on the long-running tasks that have had no run for long, with
+  // what keeps them from each VM.
+  void LogHeldTasks(absl::Time now);
   // Writes a line for each crash that counted against the task.
   void LogGivenUp(const GivenUpTask& given_up);
   // Stores that nothing can run on the worker.
@@ -180,6 +183,8 @@
   Counter& stops_total;
   Counter& ends_total;
   Counter& takeovers_total;
+  // Long-running tasks that have had no run for kHeldAfter.
+  Gauge& held_tasks;
   // Time from when a step could start until the order for each of its tasks.
   Histogram& start_wait_seconds;
   // Time from the end of a run, or another change, until it is stored.
@@ -214,6 +219,9 @@
   absl::Time next_reconcile = absl::InfinitePast();
   absl::Time next_waiting_notice = absl::InfinitePast();
   absl::Time next_removal = absl::InfinitePast();
+  absl::Time next_held_check = absl::InfinitePast();
+  // Held tasks that have a line, and when they get the next one.
+  std::map<TaskRef, absl::Time> held_lines;
   // Progress rows of submissions whose final state is stored, to be removed
   // with the next commit.
   std::vector<StoreRemove> stale_progress;
--- a/daemon/testing/fleet_log_test.cc
+++ b/daemon/testing/fleet_log_test.cc
@@ -152,6 +152,28 @@
                                  {"state", "cancelled"}}));
 }
 
+// Guards against a long-running task that does not run while no line tells why.
+TEST_F(FleetLogTest, AHeldTaskIsLoggedWithTheCauses) {
+  auto runner = std::move(
+      RunnerStandin::Start(&this->ledger, absl::Milliseconds(50)).value());
+  const Settings entry_settings = this->EntrySettings("entry-1");
+  const Settings agent_settings = this->AgentSettings("agent-1", *runner);
+  auto entry = FleetEntry::Start(entry_settings, this->file.get());
+  auto agent = FleetAgent::Start(agent_settings, &this->log);
+  ASSERT_EQ(this->SendHeartbeat(agent_settings, *runner), 200);
+  ASSERT_TRUE(this->WaitUntilReady(entry_settings));
+  std::string too_large = kOneTask;
+  too_large.replace(too_large.find("500"), 3, "900000");
+  too_large.insert(too_large.find(R"("cpu")"), R"("longRunning":true,)");
+  ASSERT_TRUE(this->Submit(entry_settings, kSubmissionId, too_large));
+  EXPECT_TRUE(this->WaitForLine({{"event", "task_held"},
+                                 {"submission", kSubmissionId},
+                                 {"index", 0},
+                                 {"suspect", false},
+                                 {"unresolved", false},
+                                 {"vms_no_capacity", 1}}));
+}
+
 // Guards against work that stalls on a lost process while no log line names the
 // process.
 TEST_F(FleetLogTest, EachLostProcessIsLogged) {
--- a/submission/active.h
+++ b/submission/active.h
@@ -42,6 +42,11 @@
   std::string vm;
   // Time when the run was ordered or first reported.
   absl::Time placed_at;
+  // Since when the task has had no run of which a runner has told; in the
+  // future before it could first start.
+  absl::Time without_run_since = absl::InfiniteFuture();
+  // Starts that were refused since then.
+  uint32_t refused_starts = 0;
   // The task is not started before this time.
   absl::Time not_before = absl::InfinitePast();
   std::vector<uint32_t> failed_runs;
@@ -147,6 +152,12 @@
   return slot.phase == TaskPhase::kPlaced && slot.vm == vm && slot.run == run;
 }
 
+// Records that the task's run has ended or is lost.
+inline void NoteRunEnded(TaskSlot* slot, absl::Time now) {
+  slot->without_run_since = now;
+  slot->refused_starts = 0;
+}
+
 // Returns the task's slot, or null if the submission has no such task.
 TaskSlot* FindSlot(ActiveSubmission* active, const TaskRef& task);
 
--- a/submission/place.cc
+++ b/submission/place.cc
@@ -1,6 +1,7 @@
 #include "submission/place.h"
 
 #include <algorithm>
+#include <array>
 
 namespace cuminjunction {
 
@@ -44,8 +45,40 @@
   return free_capacity;
 }
 
+PlacementObstacle FindEligibilityObstacle(const Step& step,
+                                          const PlacementContext& context,
+                                          const Worker& worker,
+                                          absl::Time now) {
+  if (!worker.usable)
+    return PlacementObstacle::kUnusable;
+  if (!worker.synced)
+    return PlacementObstacle::kNotSynced;
+  if (worker.info.draining)
+    return PlacementObstacle::kDraining;
+  if (worker.info.service != context.service)
+    return PlacementObstacle::kOtherService;
+  if (worker.avoid_until > now)
+    return PlacementObstacle::kAvoided;
+  const auto& labels = worker.info.labels;
+  if (!step.required_label.empty() &&
+      std::find(labels.begin(), labels.end(), step.required_label) ==
+          labels.end())
+    return PlacementObstacle::kLabel;
+  if (step.max_per_vm != 0 && context.same_step >= step.max_per_vm)
+    return PlacementObstacle::kMaxPerVm;
+  return PlacementObstacle::kNone;
+}
+
 }  // namespace
 
+std::string_view ToString(PlacementObstacle obstacle) {
+  static constexpr std::array<std::string_view, kPlacementObstacles> kNames = {
+      "free",          "unusable",    "not_synced", "draining",
+      "other_service", "avoided",     "label",      "max_per_vm",
+      "no_permit",     "no_capacity", "reserved",   "interference"};
+  return kNames.at(static_cast<size_t>(obstacle));
+}
+
 double UsedShare(const Worker& worker) {
   return ShareOf(worker.used.millicores + worker.filling_millicores, worker);
 }
@@ -103,15 +136,31 @@
                 const PlacementContext& context,
                 const Worker& worker,
                 absl::Time now) {
-  if (!worker.usable || !worker.synced || worker.info.draining ||
-      worker.info.service != context.service || worker.avoid_until > now)
-    return false;
-  const auto& labels = worker.info.labels;
-  if (!step.required_label.empty() &&
-      std::find(labels.begin(), labels.end(), step.required_label) ==
-          labels.end())
-    return false;
-  return step.max_per_vm == 0 || context.same_step < step.max_per_vm;
+  return FindEligibilityObstacle(step, context, worker, now) ==
+         PlacementObstacle::kNone;
+}
+
+PlacementObstacle FindObstacle(const Step& step,
+                               const PlacementContext& context,
+                               const Worker& worker,
+                               const InterferenceModel& interference_model,
+                               absl::Time now) {
+  const PlacementObstacle obstacle =
+      FindEligibilityObstacle(step, context, worker, now);
+  if (obstacle != PlacementObstacle::kNone)
+    return obstacle;
+  const Size free_capacity =
+      step.fills ? FillingCapacity(worker) : FreeCapacity(worker);
+  if (!Fits(step.size, free_capacity))
+    return PlacementObstacle::kNoCapacity;
+  if (!step.long_running && worker.reserved_until > now &&
+      !Fits(step.size, free_capacity - worker.reserved))
+    return PlacementObstacle::kReserved;
+  if (step.fills && context.can_wait &&
+      ExcessLatencyRatio(step, worker, interference_model,
+                         /*already_running=*/false) > 0)
+    return PlacementObstacle::kInterference;
+  return PlacementObstacle::kNone;
 }
 
 std::optional<double> PlacementCost(const Step& step,
--- a/submission/place.h
+++ b/submission/place.h
@@ -9,9 +9,11 @@
 // The VM with the lowest cost gets the task; nullopt means that the task must
 // not run there or does not fit.
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "absl/time/time.h"
 #include "submission/interference_model.h"
@@ -46,6 +48,38 @@
   std::string rack;
 };
 
+// Why a VM can't take a task, in the order in which the causes are checked.
+enum class PlacementObstacle : uint8_t {
+  kNone,
+  kUnusable,
+  kNotSynced,
+  kDraining,
+  kOtherService,
+  kAvoided,
+  kLabel,
+  kMaxPerVm,
+  kNoPermit,
+  kNoCapacity,
+  // The free capacity is reserved for another task.
+  kReserved,
+  // A filling task that may wait would interfere with serving tasks.
+  kInterference,
+};
+
+inline constexpr size_t kPlacementObstacles =
+    static_cast<size_t>(PlacementObstacle::kInterference) + 1;
+
+// Name of the obstacle in logs.
+std::string_view ToString(PlacementObstacle obstacle);
+
+// Returns what keeps the task from the VM, kNone if nothing does. Has no
+// knowledge of permits. Requires RefreshLatencyOutlooks() as PlacementCost().
+PlacementObstacle FindObstacle(const Step& step,
+                               const PlacementContext& context,
+                               const Worker& worker,
+                               const InterferenceModel& interference_model,
+                               absl::Time now);
+
 // Returns nullopt if the task must not run on the VM or does not fit. Requires
 // RefreshLatencyOutlooks() since the last change of the VM's tasks or samples.
 std::optional<double> PlacementCost(const Step& step,
--- a/submission/scheduler.cc
+++ b/submission/scheduler.cc
@@ -194,8 +194,10 @@
     worker.avoid_until = std::max(worker.avoid_until, now + kAvoidAfterRefusal);
   ActiveSubmission* active = this->FindActive(task.submission);
   TaskSlot* slot = active == nullptr ? nullptr : FindSlot(active, task);
-  if (slot != nullptr && IsPlacedOn(*slot, vm, run))
+  if (slot != nullptr && IsPlacedOn(*slot, vm, run)) {
     this->Release(active, task, slot);
+    ++slot->refused_starts;
+  }
 }
 
 void Scheduler::CountWorkerFailure(Worker* worker,
@@ -230,8 +232,10 @@
     return;
   const Step& step = active->submission.steps[ended_run.task.step];
   const bool current = IsPlacedOn(*slot, vm, ended_run.run);
-  if (current)
+  if (current) {
     this->Release(active, ended_run.task, slot);
+    NoteRunEnded(slot, now);
+  }
   if (ended_run.outcome == RunOutcome::kDone && !step.long_running) {
     worker.consecutive_failures = 0;
     if (slot->phase == TaskPhase::kPlaced) {
--- a/submission/scheduler.h
+++ b/submission/scheduler.h
@@ -15,6 +15,7 @@
 // not started until every worker of the earlier planner has reported or its
 // grant has expired. See docs/deployment.md.
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -105,6 +106,30 @@
   kInvalidTicket,
 };
 
+// A long-running task that has had no run for kHeldAfter.
+struct HeldTask {
+  TaskRef task;
+  absl::Time since;
+  // The last run, and its VM; 0 if none was ordered.
+  uint32_t last_run = 0;
+  std::string last_vm;
+  // A start was ordered and is not refused yet, at `placed_at`.
+  bool ordered = false;
+  absl::Time placed_at;
+  uint32_t refused_starts = 0;
+  // The task may have crashed its runner and starts apart from others.
+  bool suspect = false;
+  // The task waits for workers of an earlier planner.
+  bool unresolved = false;
+};
+
+// Numbers of VMs, by what keeps a task from them, with PlacementObstacle as
+// index.
+using ObstacleCounts = std::array<uint32_t, kPlacementObstacles>;
+
+// Long-running tasks without a run for this long are reported as held.
+inline constexpr absl::Duration kHeldAfter = absl::Seconds(2);
+
 // A state change that callers can observe.
 struct StateChange {
   std::string submission;
@@ -263,6 +288,13 @@
   // as running.
   std::vector<StateChange> AllStates() const;
 
+  // Returns the long-running tasks that have had no run for kHeldAfter. A start
+  // that was ordered counts as a run unless earlier ones were refused.
+  std::vector<HeldTask> HeldTasks(absl::Time now) const;
+
+  // Counts the VMs by what keeps the task from them.
+  ObstacleCounts CountObstacles(const TaskRef& task, absl::Time now);
+
   // Number of submissions without a started task, by queue.
   std::map<std::string, uint64_t> WaitingCounts() const;
 
@@ -295,7 +327,9 @@
              uint32_t run,
              absl::Time now);
   void Release(ActiveSubmission* active, const TaskRef& task, TaskSlot* slot);
-  void DropRunsExcept(Worker* worker, const std::set<TaskRef>& reported);
+  void DropRunsExcept(Worker* worker,
+                      const std::set<TaskRef>& reported,
+                      absl::Time now);
   // Counts a crash of the VM's runner against the tasks that it was running,
   // once, and gives up those that crash each runner.
   void RecordCrash(const std::string& vm,
@@ -347,6 +381,10 @@
                        absl::Time now,
                        double* cost,
                        Orders* orders);
+  void AddHeldTasks(const ActiveSubmission& active,
+                    const StepRef& step_ref,
+                    absl::Time now,
+                    std::vector<HeldTask>* held_tasks) const;
   void EvacuateDraining(Orders* orders, absl::Time now);
   void MoveInterferingTasks(Orders* orders, absl::Time now);
   void Preempt(const StepCandidate& candidate, Orders* orders, absl::Time now);
--- a/submission/scheduler_plan.cc
+++ b/submission/scheduler_plan.cc
@@ -18,6 +18,12 @@
 // there is capacity.
 constexpr absl::Duration kMaxPlacementWait = absl::Milliseconds(2200);
 
+// True if the step's filling tasks may wait for a VM where they do not
+// interfere.
+bool CanWait(const StepSlots& slots, absl::Time now) {
+  return slots.placed > 0 || now - slots.ready_since < kMaxPlacementWait;
+}
+
 }  // namespace
 
 // A step of one occurrence that has tasks to start.
@@ -178,8 +184,7 @@
   PlacementContext context;
   context.service = candidate.active->queue.service;
   context.rack = candidate.rack;
-  context.can_wait = candidate.Slots().placed > 0 ||
-                     now - candidate.Slots().ready_since < kMaxPlacementWait;
+  context.can_wait = CanWait(candidate.Slots(), now);
   Worker* best = nullptr;
   for (auto& [vm, worker] : this->workers) {
     context.failed_here = slot.failed_vm == vm;
@@ -261,8 +266,7 @@
       orders->more = true;
       break;
     }
-    const bool can_wait =
-        slots.placed > 0 || now - slots.ready_since < kMaxPlacementWait;
+    const bool can_wait = CanWait(slots, now);
     if (IsSuspect(slot.crashes)) {
       this->CountPlaced(candidate);
       context.can_wait = can_wait;
@@ -438,4 +442,30 @@
   }
 }
 
+ObstacleCounts Scheduler::CountObstacles(const TaskRef& task, absl::Time now) {
+  ObstacleCounts counts = {};
+  ActiveSubmission* active = this->FindActive(task.submission);
+  const TaskSlot* slot = active == nullptr ? nullptr : FindSlot(active, task);
+  if (slot == nullptr)
+    return counts;
+  StepCandidate candidate{active, task.occurrence, task.step, {}, {}, {}};
+  this->CountPlaced(&candidate);
+  PlacementContext context;
+  context.service = active->queue.service;
+  context.can_wait = CanWait(candidate.Slots(), now);
+  for (auto& [vm, worker] : this->workers) {
+    const auto same = candidate.same_step.find(vm);
+    context.same_step = same == candidate.same_step.end() ? 0 : same->second;
+    this->RefreshOutlooks(worker.get(), now);
+    PlacementObstacle obstacle = FindObstacle(
+        candidate.Spec(), context, *worker, this->interference_model, now);
+    if (IsEligible(candidate.Spec(), context, *worker, now) &&
+        this->TicketFor(*active, task.occurrence, task.step, *worker, now) ==
+            nullptr)
+      obstacle = PlacementObstacle::kNoPermit;
+    ++counts.at(static_cast<size_t>(obstacle));
+  }
+  return counts;
+}
+
 }  // namespace cuminjunction
--- a/submission/scheduler_workers.cc
+++ b/submission/scheduler_workers.cc
@@ -89,7 +89,7 @@
       this->changes.push_back({task.submission, active->state});
     }
   }
-  this->DropRunsExcept(&worker, reported);
+  this->DropRunsExcept(&worker, reported, now);
   this->unresolved.erase(report.vm);
   for (const RunnerCrash& crash : report.crashes)
     this->RecordCrash(report.vm, crash, now);
@@ -126,7 +126,7 @@
         std::max(worker->grant_deadline, worker->inherited_grant_deadline);
     if (worker->synced || deadline >= now)
       continue;
-    this->DropRunsExcept(worker.get(), {});
+    this->DropRunsExcept(worker.get(), {}, now);
     this->unresolved.erase(vm);
     worker->grant_deadline = absl::InfinitePast();
     worker->inherited_grant_deadline = absl::InfinitePast();
@@ -154,13 +154,14 @@
   if (worker.inherited_grant_deadline >= now)
     return false;
   worker.inherited_grant_deadline = absl::InfinitePast();
-  this->DropRunsExcept(&worker, {});
+  this->DropRunsExcept(&worker, {}, now);
   this->unresolved.erase(vm);
   return true;
 }
 
 void Scheduler::DropRunsExcept(Worker* worker,
-                               const std::set<TaskRef>& reported) {
+                               const std::set<TaskRef>& reported,
+                               absl::Time now) {
   std::vector<TaskRef> lost;
   for (const auto& [task, placed] : worker->placed) {
     if (!reported.contains(task))
@@ -171,8 +172,10 @@
     Vacate(worker, task);
     ActiveSubmission* active = this->FindActive(task.submission);
     TaskSlot* slot = active == nullptr ? nullptr : FindSlot(active, task);
-    if (slot != nullptr && IsPlacedOn(*slot, worker->vm, run))
+    if (slot != nullptr && IsPlacedOn(*slot, worker->vm, run)) {
       this->Release(active, task, slot);
+      NoteRunEnded(slot, now);
+    }
   }
 }
 
--- /dev/null
+++ b/submission/testing/scheduler_held_test.cc
@@ -0,0 +1,81 @@
+// Tests of long-running tasks that do not run: what is reported of them, and
+// how long they may be held back in a system without disturbances.
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "submission/testing/scheduler_fixture.h"
+
+namespace cuminjunction {
+namespace {
+
+Step MakeLongStep(uint32_t count, int64_t millicores) {
+  Step step = MakeStep(count, millicores);
+  step.long_running = true;
+  return step;
+}
+
+class SchedulerHeldTest : public SchedulerTest {
+ protected:
+  uint32_t Vms(const TaskRef& task, PlacementObstacle obstacle) {
+    return this->scheduler.CountObstacles(task, this->now)
+        .at(static_cast<size_t>(obstacle));
+  }
+};
+
+// Guards against a long-running task that waits without a trace of the cause.
+TEST_F(SchedulerHeldTest, AHeldTaskIsReportedWithTheCauses) {
+  WorkerReport full = MakeReport("vm-full");
+  full.info.capacity = {100, 100, 0};
+  WorkerReport draining = MakeReport("vm-draining");
+  draining.info.draining = true;
+  WorkerReport other = MakeReport("vm-other");
+  other.info.labels = {"b", "rack-1"};
+  this->scheduler.MergeReport(full, this->now);
+  this->scheduler.MergeReport(draining, this->now);
+  this->scheduler.MergeReport(other, this->now);
+  Step step = MakeLongStep(1, 500);
+  step.required_label = "a";
+  this->Add(MakeSubmission(kId, {step}));
+  EXPECT_TRUE(this->Plan().starts.empty());
+  this->now += kHeldAfter - absl::Milliseconds(1);
+  EXPECT_TRUE(this->scheduler.HeldTasks(this->now).empty());
+  this->now += absl::Milliseconds(1);
+  const std::vector<HeldTask> held = this->scheduler.HeldTasks(this->now);
+  ASSERT_EQ(held.size(), 1u);
+  EXPECT_EQ(held[0].task, (TaskRef{kId, 0, 0, 0}));
+  EXPECT_FALSE(held[0].ordered);
+  EXPECT_FALSE(held[0].suspect);
+  EXPECT_EQ(this->Vms(held[0].task, PlacementObstacle::kNoCapacity), 1u);
+  EXPECT_EQ(this->Vms(held[0].task, PlacementObstacle::kDraining), 1u);
+  EXPECT_EQ(this->Vms(held[0].task, PlacementObstacle::kLabel), 1u);
+  EXPECT_EQ(this->Vms(held[0].task, PlacementObstacle::kNone), 0u);
+}
+
+// Guards against a task that looks as if it ran because its starts are ordered
+// and refused in turn.
+TEST_F(SchedulerHeldTest, ATaskWhoseStartsAreRefusedIsReported) {
+  this->scheduler.MergeReport(MakeReport("vm-1"), this->now);
+  this->Add(MakeSubmission(kId, {MakeLongStep(1, 500)}));
+  for (int i = 0; i < 3; ++i) {
+    const Orders orders = this->Plan();
+    ASSERT_EQ(orders.starts.size(), 1u);
+    this->scheduler.OnStartResult("vm-1", orders.starts[0].task,
+                                  orders.starts[0].run, StartOutcome::kRefused,
+                                  this->now);
+    this->now += absl::Seconds(1);
+  }
+  ASSERT_EQ(this->Plan().starts.size(), 1u);
+  const std::vector<HeldTask> held = this->scheduler.HeldTasks(this->now);
+  ASSERT_EQ(held.size(), 1u);
+  EXPECT_TRUE(held[0].ordered);
+  EXPECT_EQ(held[0].refused_starts, 3u);
+  // A start that nobody has refused is taken for a run.
+  this->now += kHeldAfter;
+  EXPECT_TRUE(this->scheduler.HeldTasks(this->now).empty());
+}
+
+}  // namespace
+}  // namespace cuminjunction
