Number runs above the ends that are reported after a takeover

A long-running task may use more run numbers under one planner than are reserved for it. After a takeover the next planner started it with a lower number than runs that had ended, which runners refuse as old, one number at a time. The scheduler took the highest number from running tasks only; it now takes it from ends too.

SchedulerHeldTest.ARunIsNumberedAboveTheReportedEnds before: "(orders.starts[0].run) > (200u), actual: 65 vs 200".

--- a/submission/scheduler.cc
+++ b/submission/scheduler.cc
@@ -230,6 +230,7 @@
       active == nullptr ? nullptr : FindSlot(active, ended_run.task);
   if (slot == nullptr || slot->phase == TaskPhase::kDone)
     return;
+  slot->highest_run = std::max(slot->highest_run, ended_run.run);
   const Step& step = active->submission.steps[ended_run.task.step];
   const bool current = IsPlacedOn(*slot, vm, ended_run.run);
   if (current) {
--- a/submission/testing/scheduler_held_test.cc
+++ b/submission/testing/scheduler_held_test.cc
@@ -77,5 +77,20 @@
   EXPECT_TRUE(this->scheduler.HeldTasks(this->now).empty());
 }
 
+// Guards against starts that runners refuse as old, one after the other, after
+// a takeover: an earlier planner has started the task more often than the run
+// numbers that are reserved for it.
+TEST_F(SchedulerHeldTest, ARunIsNumberedAboveTheReportedEnds) {
+  this->Add(MakeSubmission(kId, {MakeLongStep(1, 500)}),
+            UnresolvedRunsBefore(2));
+  this->scheduler.ExpectWorker("vm-1", this->now + absl::Seconds(6));
+  WorkerReport report = MakeReport("vm-1");
+  report.ended.push_back({7, {kId, 0, 0, 0}, 200, RunOutcome::kFailed, ""});
+  this->scheduler.MergeReport(report, this->now);
+  const Orders orders = this->Plan();
+  ASSERT_EQ(orders.starts.size(), 1u);
+  EXPECT_GT(orders.starts[0].run, 200u);
+}
+
 }  // namespace
 }  // namespace cuminjunction
