Stop runs again whose stop was lost with the connection

A run that was to be stopped (preempted, moved, evacuated) stayed marked as stopping when the connection to its agent broke before the stop arrived. It was then never stopped again, and its capacity was never preempted for a long-running task. A full report that lists the run now clears the mark; a second stop of a run has no effect on the runner.

SchedulerHeldTest.AStopThatIsLostWithTheConnectionIsOrderedAgain before: "(stops) >= (1u), actual: 0 vs 1".

--- a/submission/scheduler_workers.cc
+++ b/submission/scheduler_workers.cc
@@ -71,8 +71,11 @@
     TaskSlot* slot = active == nullptr ? nullptr : FindSlot(active, task);
     if (active != nullptr && !running.starting)
       active->started = true;
-    if (slot != nullptr && IsPlacedOn(*slot, report.vm, running.run))
+    if (slot != nullptr && IsPlacedOn(*slot, report.vm, running.run)) {
+      // A stop that was sent may have been lost with the connection.
+      worker.placed.at(task).stopping = false;
       continue;
+    }
     // A run with a lower number than one that this planner has ordered is
     // stale.
     const bool is_stale =
--- a/submission/testing/scheduler_held_test.cc
+++ b/submission/testing/scheduler_held_test.cc
@@ -77,6 +77,28 @@
   EXPECT_TRUE(this->scheduler.HeldTasks(this->now).empty());
 }
 
+// Guards against a task that counts as being stopped for good, so that it is
+// not preempted again, after its stop was lost with the connection.
+TEST_F(SchedulerHeldTest, AStopThatIsLostWithTheConnectionIsOrderedAgain) {
+  this->scheduler.MergeReport(MakeReport("vm-1"), this->now);
+  this->Add(MakeSubmission("00000000000000b2", {MakeStep(1, 4000)}));
+  const Orders batch = this->Plan();
+  ASSERT_EQ(batch.starts.size(), 1u);
+  this->Add(MakeSubmission(kId, {MakeLongStep(1, 1500)}));
+  ASSERT_EQ(this->Plan().stops.size(), 1u);
+  this->scheduler.OnDisconnected("vm-1");
+  WorkerReport report = MakeReport("vm-1");
+  report.running.push_back(
+      {batch.starts[0].task, batch.starts[0].run, "", 0, false});
+  this->scheduler.MergeReport(report, this->now);
+  size_t stops = 0;
+  for (int i = 0; i < 60; ++i) {
+    this->now += absl::Milliseconds(100);
+    stops += this->Plan().stops.size();
+  }
+  EXPECT_GE(stops, 1u);
+}
+
 // Guards against starts that runners refuse as old, one after the other, after
 // a takeover: an earlier planner has started the task more often than the run
 // numbers that are reserved for it.
