Limit the wait of long-running filling tasks

While one task of a filling step runs, the others wait without limit for a VM where they do not interfere.

SchedulerHeldTest.ALongRunningFillingTaskWaitsOnlySoLong before: "started Which is: 1, 2u Which is: 2" after 9 s.

--- a/submission/scheduler_plan.cc
+++ b/submission/scheduler_plan.cc
@@ -19,9 +19,11 @@
 constexpr absl::Duration kMaxPlacementWait = absl::Milliseconds(2200);
 
 // True if the step's filling tasks may wait for a VM where they do not
-// interfere.
-bool CanWait(const StepSlots& slots, absl::Time now) {
-  return slots.placed > 0 || now - slots.ready_since < kMaxPlacementWait;
+// interfere. Tasks that last must all run, whether others of the step do or
+// not.
+bool CanWait(const Step& step, const StepSlots& slots, absl::Time now) {
+  return (slots.placed > 0 && !step.long_running) ||
+         now - slots.ready_since < kMaxPlacementWait;
 }
 
 }  // namespace
@@ -184,7 +186,7 @@
   PlacementContext context;
   context.service = candidate.active->queue.service;
   context.rack = candidate.rack;
-  context.can_wait = CanWait(candidate.Slots(), now);
+  context.can_wait = CanWait(candidate.Spec(), candidate.Slots(), now);
   Worker* best = nullptr;
   for (auto& [vm, worker] : this->workers) {
     context.failed_here = slot.failed_vm == vm;
@@ -266,7 +268,7 @@
       orders->more = true;
       break;
     }
-    const bool can_wait = CanWait(slots, now);
+    const bool can_wait = CanWait(step, slots, now);
     if (IsSuspect(slot.crashes)) {
       this->CountPlaced(candidate);
       context.can_wait = can_wait;
@@ -452,7 +454,7 @@
   this->CountPlaced(&candidate);
   PlacementContext context;
   context.service = active->queue.service;
-  context.can_wait = CanWait(candidate.Slots(), now);
+  context.can_wait = CanWait(candidate.Spec(), candidate.Slots(), now);
   for (auto& [vm, worker] : this->workers) {
     const auto same = candidate.same_step.find(vm);
     context.same_step = same == candidate.same_step.end() ? 0 : same->second;
--- a/submission/testing/scheduler_held_test.cc
+++ b/submission/testing/scheduler_held_test.cc
@@ -77,6 +77,32 @@
   EXPECT_TRUE(this->scheduler.HeldTasks(this->now).empty());
 }
 
+// Guards against a long-running filling task that waits without limit for a VM
+// where it does not interfere, because others of its step run.
+TEST_F(SchedulerHeldTest, ALongRunningFillingTaskWaitsOnlySoLong) {
+  this->scheduler.MergeReport(MakeReport("vm-1"), this->now);
+  Step serving = MakeLongStep(1, 1000);
+  serving.latency_objective_ms = 10;
+  serving.image = "serving";
+  this->Add(MakeSubmission(kId, {serving}));
+  ASSERT_EQ(this->Plan().starts.size(), 1u);
+  for (int i = 0; i < 100; ++i) {
+    this->now += absl::Milliseconds(100);
+    this->scheduler.AddLatencySample("vm-1", "serving", 2.0,
+                                     {{"filling", 0.25}}, this->now);
+  }
+  Step filling = MakeLongStep(2, 500);
+  filling.fills = true;
+  filling.image = "filling";
+  this->Add(MakeSubmission("00000000000000b2", {filling}));
+  size_t started = 0;
+  for (int i = 0; i < 90 && started < 2; ++i) {
+    started += this->Plan().starts.size();
+    this->now += absl::Milliseconds(100);
+  }
+  EXPECT_EQ(started, 2u);
+}
+
 // Guards against a task that counts as being stopped for good, so that it is
 // not preempted again, after its stop was lost with the connection.
 TEST_F(SchedulerHeldTest, AStopThatIsLostWithTheConnectionIsOrderedAgain) {
