Do not avoid a VM for failures of tasks that have run for long

Failed runs of a VM are counted until one ends as done, which a long-running task never does. Where only such tasks are left, each failure after the second kept the VM from all tasks for 3 s, and on the only VM for a task it waited for as long as others went on to fail. A long-running task that fails after 2 s or more now clears the count, as a task that is done.

SchedulerHeldTest.FailuresOfLongRunsDoNotKeepTasksFromAVm before: "(longest) < (absl::Seconds(9)), actual: 20.4s vs 9s".

--- a/submission/scheduler.cc
+++ b/submission/scheduler.cc
@@ -17,6 +17,10 @@
 constexpr absl::Duration kAvoidAfterNoCapacity = absl::Milliseconds(250);
 constexpr absl::Duration kAvoidAfterRefusal = absl::Milliseconds(700);
 
+// A long-running task that fails after it has run for this long is no evidence
+// against its VM.
+constexpr absl::Duration kLongRunIsSound = absl::Seconds(2);
+
 bool Contains(const std::vector<uint32_t>& runs, uint32_t run) {
   return std::find(runs.begin(), runs.end(), run) != runs.end();
 }
@@ -256,7 +260,11 @@
   }
   if (ended_run.outcome != RunOutcome::kFailed)
     return;
-  this->CountWorkerFailure(&worker, *slot, now);
+  // Only tasks of a limited duration end as done.
+  if (step.long_running && current && now - slot->placed_at >= kLongRunIsSound)
+    worker.consecutive_failures = 0;
+  else
+    this->CountWorkerFailure(&worker, *slot, now);
   slot->failed_vm = vm;
   if (step.long_running)
     return;
--- a/submission/testing/scheduler_held_test.cc
+++ b/submission/testing/scheduler_held_test.cc
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -140,5 +142,34 @@
   EXPECT_GT(orders.starts[0].run, 200u);
 }
 
+// Guards against a VM that is avoided for as long as long-running tasks fail on
+// it now and then: only tasks that end as done cleared its count of failures.
+TEST_F(SchedulerHeldTest, FailuresOfLongRunsDoNotKeepTasksFromAVm) {
+  this->scheduler.MergeReport(MakeReport("vm-1"), this->now);
+  this->Add(MakeSubmission(kId, {MakeLongStep(8, 100)}));
+  std::vector<StartOrder> running = this->Plan().starts;
+  ASSERT_EQ(running.size(), 8u);
+  // One task after the other fails, every 2.5 s.
+  std::map<uint32_t, absl::Time> failed_at;
+  absl::Duration longest;
+  uint64_t number = 0;
+  for (int i = 0; i < 300; ++i) {
+    this->now += absl::Milliseconds(100);
+    if (i % 25 == 24 && !running.empty()) {
+      const StartOrder failed = running.front();
+      running.erase(running.begin());
+      this->End(failed, RunOutcome::kFailed, ++number);
+      failed_at[failed.task.index] = this->now;
+    }
+    for (const StartOrder& start : this->Plan().starts) {
+      failed_at.erase(start.task.index);
+      running.push_back(start);
+    }
+    for (const auto& [index, since] : failed_at)
+      longest = std::max(longest, this->now - since);
+  }
+  EXPECT_LT(longest, absl::Seconds(9));
+}
+
 }  // namespace
 }  // namespace cuminjunction
