Preempt batch work for long-running crash suspects too

A long-running task that may have crashed its runner was left out of preemption: while all VMs were full of batch work it waited without limit, though other long-running tasks get room by stopping batch tasks.

SchedulerHeldTest.ASuspectPreemptsBatchWork before: "Value of: started, Actual: false, Expected: true" after 9 s.

--- a/submission/scheduler.h
+++ b/submission/scheduler.h
@@ -385,6 +385,9 @@
                     const StepRef& step_ref,
                     absl::Time now,
                     std::vector<HeldTask>* held_tasks) const;
+  // True if a task of the step will fit on a VM once a suspect that has just
+  // started there is no longer kept apart.
+  bool FitsAfterIsolation(const StepCandidate& candidate, absl::Time now) const;
   void EvacuateDraining(Orders* orders, absl::Time now);
   void MoveInterferingTasks(Orders* orders, absl::Time now);
   void Preempt(const StepCandidate& candidate, Orders* orders, absl::Time now);
--- a/submission/scheduler_plan.cc
+++ b/submission/scheduler_plan.cc
@@ -260,6 +260,7 @@
   };
   std::optional<PlacementSearch> search;
   std::vector<Worker*> changed;
+  bool has_preempted = false;
   for (uint32_t index = 0; index < slots.tasks.size(); ++index) {
     TaskSlot& slot = slots.tasks[index];
     if (!this->MayStart(slot, now))
@@ -275,8 +276,15 @@
       context.rack = candidate->rack;
       double cost = 0;
       Worker* worker = this->ChooseWorkerForSuspect(slot, evaluate, now, &cost);
-      if (worker == nullptr)
+      if (worker == nullptr) {
+        if (step.long_running && !has_preempted &&
+            now - slot.crashed_at >= kMaxSuspectWait &&
+            !this->FitsAfterIsolation(*candidate, now)) {
+          has_preempted = true;
+          this->Preempt(*candidate, orders, now);
+        }
         continue;
+      }
       this->OrderStart(candidate, index, worker, slot.highest_run + 1, cost,
                        orders, now);
       worker->avoid_until =
@@ -390,6 +398,24 @@
   }
 }
 
+bool Scheduler::FitsAfterIsolation(const StepCandidate& candidate,
+                                   absl::Time now) const {
+  PlacementContext context;
+  context.service = candidate.active->queue.service;
+  return std::any_of(
+      this->workers.begin(), this->workers.end(), [&](const auto& entry) {
+        const Worker& worker = *entry.second;
+        const auto same = candidate.same_step.find(worker.vm);
+        context.same_step =
+            same == candidate.same_step.end() ? 0 : same->second;
+        return this->TicketFor(*candidate.active, candidate.occurrence,
+                               candidate.step, worker, now) != nullptr &&
+               FindObstacle(
+                   candidate.Spec(), context, worker, this->interference_model,
+                   now + kSuspectIsolation) == PlacementObstacle::kNone;
+      });
+}
+
 void Scheduler::Preempt(const StepCandidate& candidate,
                         Orders* orders,
                         absl::Time now) {
--- a/submission/testing/scheduler_held_test.cc
+++ b/submission/testing/scheduler_held_test.cc
@@ -79,6 +79,42 @@
   EXPECT_TRUE(this->scheduler.HeldTasks(this->now).empty());
 }
 
+// Guards against a suspect that waits behind batch work, since only other tasks
+// preempt it.
+TEST_F(SchedulerHeldTest, ASuspectPreemptsBatchWork) {
+  this->scheduler.MergeReport(MakeReport("vm-1"), this->now);
+  this->Add(MakeSubmission(kId, {MakeLongStep(1, 1500)}));
+  const Orders first = this->Plan();
+  ASSERT_EQ(first.starts.size(), 1u);
+  WorkerReport crashed = MakeReport("vm-1", 2);
+  crashed.crashes = {
+      {1, {{first.starts[0].task, first.starts[0].run, true, 10}}}};
+  crashed.alive = false;
+  this->scheduler.MergeReport(crashed, this->now);
+  this->scheduler.MergeReport(MakeReport("vm-2"), this->now);
+  // The batch work fills the only VM that is left, from before the crash on.
+  Step batch = MakeStep(4, 1000);
+  WorkerReport busy = MakeReport("vm-2");
+  for (uint32_t index = 0; index < 4; ++index)
+    busy.running.push_back(
+        {{"00000000000000b2", 0, 0, index}, 1, "", 0, false});
+  this->Add(MakeSubmission("00000000000000b2", {batch}));
+  this->scheduler.MergeReport(busy, this->now);
+  bool started = false;
+  uint64_t number = 0;
+  for (int i = 0; i < 90 && !started; ++i) {
+    this->now += absl::Milliseconds(100);
+    const Orders orders = this->Plan();
+    for (const StopOrder& stop : orders.stops)
+      this->scheduler.OnEnded(
+          stop.vm, {++number, stop.task, stop.run, RunOutcome::kStopped, ""},
+          this->now);
+    for (const StartOrder& start : orders.starts)
+      started = started || start.task.submission == kId;
+  }
+  EXPECT_TRUE(started);
+}
+
 // Guards against a long-running filling task that waits without limit for a VM
 // where it does not interfere, because others of its step run.
 TEST_F(SchedulerHeldTest, ALongRunningFillingTaskWaitsOnlySoLong) {
