Limit how long long-running suspects are started one by one

Suspects of a crash start 400 ms apart on each VM. One that has waited for 4 s since the crash now starts beside others. Isolation has a time of its own, so that a VM that is avoided for another cause still is.

SchedulerHeldTest.ManySuspectsStartWithinTheLimit before: "started Which is: 23, 30u Which is: 30" after 9 s.

--- a/submission/crash.h
+++ b/submission/crash.h
@@ -90,6 +90,9 @@
 // How long a suspect waits for a VM without recent starts.
 inline constexpr absl::Duration kMaxSuspectWait = absl::Milliseconds(1500);
 
+// A long-running suspect that has waited this long starts beside others.
+inline constexpr absl::Duration kMaxLongRunningSuspectWait = absl::Seconds(4);
+
 // Returns the evidence against each of the runs, in their order.
 std::vector<CrashEvidence> JudgeCrash(const std::vector<LostRun>& runs);
 
--- a/submission/place.cc
+++ b/submission/place.cc
@@ -57,7 +57,8 @@
     return PlacementObstacle::kDraining;
   if (worker.info.service != context.service)
     return PlacementObstacle::kOtherService;
-  if (worker.avoid_until > now)
+  if (worker.avoid_until > now ||
+      (worker.isolated_until > now && !context.ignores_isolation))
     return PlacementObstacle::kAvoided;
   const auto& labels = worker.info.labels;
   if (!step.required_label.empty() &&
--- a/submission/place.h
+++ b/submission/place.h
@@ -44,6 +44,8 @@
   bool failed_here = false;
   // A filling task may wait for a VM where its interference is acceptable.
   bool can_wait = false;
+  // The task does not wait until a suspect on the VM is no longer kept apart.
+  bool ignores_isolation = false;
   // Rack of the step's other tasks if the step wants a single rack; else empty.
   std::string rack;
 };
--- a/submission/scheduler_plan.cc
+++ b/submission/scheduler_plan.cc
@@ -275,7 +275,11 @@
       context.can_wait = can_wait;
       context.rack = candidate->rack;
       double cost = 0;
+      context.ignores_isolation =
+          step.long_running &&
+          now - slot.crashed_at >= kMaxLongRunningSuspectWait;
       Worker* worker = this->ChooseWorkerForSuspect(slot, evaluate, now, &cost);
+      context.ignores_isolation = false;
       if (worker == nullptr) {
         if (step.long_running && !has_preempted &&
             now - slot.crashed_at >= kMaxSuspectWait &&
@@ -287,8 +291,7 @@
       }
       this->OrderStart(candidate, index, worker, slot.highest_run + 1, cost,
                        orders, now);
-      worker->avoid_until =
-          std::max(worker->avoid_until, now + kSuspectIsolation);
+      worker->isolated_until = now + kSuspectIsolation;
       changed.push_back(worker);
       search.reset();
       continue;
--- a/submission/scheduler_workers.cc
+++ b/submission/scheduler_workers.cc
@@ -55,6 +55,7 @@
   if (worker.info.born_ms != report.info.born_ms) {
     worker.consecutive_failures = 0;
     worker.avoid_until = absl::InfinitePast();
+    worker.isolated_until = absl::InfinitePast();
   }
   worker.info = report.info;
   worker.usable = report.alive;
--- a/submission/testing/scheduler_held_test.cc
+++ b/submission/testing/scheduler_held_test.cc
@@ -178,6 +178,33 @@
   EXPECT_GT(orders.starts[0].run, 200u);
 }
 
+// Guards against suspects that start one after the other for longer than a
+// long-running task may be without a run, where few VMs can take them.
+TEST_F(SchedulerHeldTest, ManySuspectsStartWithinTheLimit) {
+  this->scheduler.MergeReport(MakeReport("vm-1"), this->now);
+  this->Add(MakeSubmission(kId, {MakeLongStep(30, 100)}));
+  const Orders first = this->Plan();
+  WorkerReport report = MakeReport("vm-1");
+  report.info.capacity = {4000, 4000, 0};
+  this->scheduler.UpdateInfo("vm-1", report.info, true);
+  std::vector<StartOrder> starts = first.starts;
+  for (const StartOrder& start : this->Plan().starts)
+    starts.push_back(start);
+  ASSERT_EQ(starts.size(), 30u);
+  RunnerCrash crash{1, {}};
+  for (const StartOrder& start : starts)
+    crash.runs.push_back({start.task, start.run, true, 10});
+  report.info.born_ms = 2;
+  report.crashes = {crash};
+  this->scheduler.MergeReport(report, this->now);
+  size_t started = 0;
+  for (int i = 0; i < 90; ++i) {
+    this->now += absl::Milliseconds(100);
+    started += this->Plan().starts.size();
+  }
+  EXPECT_EQ(started, 30u);
+}
+
 // Guards against a VM that is avoided for as long as long-running tasks fail on
 // it now and then: only tasks that end as done cleared its count of failures.
 TEST_F(SchedulerHeldTest, FailuresOfLongRunsDoNotKeepTasksFromAVm) {
--- a/submission/worker.h
+++ b/submission/worker.h
@@ -63,6 +63,9 @@
   absl::Time inherited_grant_deadline = absl::InfinitePast();
   // Gets no new tasks before this time.
   absl::Time avoid_until = absl::InfinitePast();
+  // A crash suspect has started here and is kept apart from other starts until
+  // this time.
+  absl::Time isolated_until = absl::InfinitePast();
   // Incarnations of the runner whose crash was counted, by their birth.
   std::set<int64_t> known_crashes;
   // Failed runs since the last successful one.
