--- a/submission/scheduler.cc
+++ b/submission/scheduler.cc
@@ -17,6 +17,10 @@
 constexpr absl::Duration kAvoidAfterNoCapacity = absl::Milliseconds(250);
 constexpr absl::Duration kAvoidAfterRefusal = absl::Milliseconds(700);
 
+// A long-running task that fails after it has run for this long is no evidence
+// against its VM.
+constexpr absl::Duration kLongRunIsSound = absl::Seconds(2);
+
 bool Contains(const std::vector<uint32_t>& runs, uint32_t run) {
   return std::find(runs.begin(), runs.end(), run) != runs.end();
 }
@@ -194,8 +198,10 @@
     worker.avoid_until = std::max(worker.avoid_until, now + kAvoidAfterRefusal);
   ActiveSubmission* active = this->FindActive(task.submission);
   TaskSlot* slot = active == nullptr ? nullptr : FindSlot(active, task);
-  if (slot != nullptr && IsPlacedOn(*slot, vm, run))
+  if (slot != nullptr && IsPlacedOn(*slot, vm, run)) {
     this->Release(active, task, slot);
+    ++slot->refused_starts;
+  }
 }
 
 void Scheduler::CountWorkerFailure(Worker* worker,
@@ -228,10 +234,13 @@
       active == nullptr ? nullptr : FindSlot(active, ended_run.task);
   if (slot == nullptr || slot->phase == TaskPhase::kDone)
     return;
+  slot->highest_run = std::max(slot->highest_run, ended_run.run);
   const Step& step = active->submission.steps[ended_run.task.step];
   const bool current = IsPlacedOn(*slot, vm, ended_run.run);
-  if (current)
+  if (current) {
     this->Release(active, ended_run.task, slot);
+    NoteRunEnded(slot, now);
+  }
   if (ended_run.outcome == RunOutcome::kDone && !step.long_running) {
     worker.consecutive_failures = 0;
     if (slot->phase == TaskPhase::kPlaced) {
@@ -251,7 +260,11 @@
   }
   if (ended_run.outcome != RunOutcome::kFailed)
     return;
-  this->CountWorkerFailure(&worker, *slot, now);
+  // Only tasks of a limited duration end as done.
+  if (step.long_running && current && now - slot->placed_at >= kLongRunIsSound)
+    worker.consecutive_failures = 0;
+  else
+    this->CountWorkerFailure(&worker, *slot, now);
   slot->failed_vm = vm;
   if (step.long_running)
     return;
--- a/submission/scheduler_plan.cc
+++ b/submission/scheduler_plan.cc
@@ -18,6 +18,14 @@
 // there is capacity.
 constexpr absl::Duration kMaxPlacementWait = absl::Milliseconds(2200);
 
+// True if the step's filling tasks may wait for a VM where they do not
+// interfere. Tasks that last must all run, whether others of the step do or
+// not.
+bool CanWait(const Step& step, const StepSlots& slots, absl::Time now) {
+  return (slots.placed > 0 && !step.long_running) ||
+         now - slots.ready_since < kMaxPlacementWait;
+}
+
 }  // namespace
 
 // A step of one occurrence that has tasks to start.
@@ -178,8 +186,7 @@
   PlacementContext context;
   context.service = candidate.active->queue.service;
   context.rack = candidate.rack;
-  context.can_wait = candidate.Slots().placed > 0 ||
-                     now - candidate.Slots().ready_since < kMaxPlacementWait;
+  context.can_wait = CanWait(candidate.Spec(), candidate.Slots(), now);
   Worker* best = nullptr;
   for (auto& [vm, worker] : this->workers) {
     context.failed_here = slot.failed_vm == vm;
@@ -253,6 +260,7 @@
   };
   std::optional<PlacementSearch> search;
   std::vector<Worker*> changed;
+  bool has_preempted = false;
   for (uint32_t index = 0; index < slots.tasks.size(); ++index) {
     TaskSlot& slot = slots.tasks[index];
     if (!this->MayStart(slot, now))
@@ -261,20 +269,29 @@
       orders->more = true;
       break;
     }
-    const bool can_wait =
-        slots.placed > 0 || now - slots.ready_since < kMaxPlacementWait;
+    const bool can_wait = CanWait(step, slots, now);
     if (IsSuspect(slot.crashes)) {
       this->CountPlaced(candidate);
       context.can_wait = can_wait;
       context.rack = candidate->rack;
       double cost = 0;
+      context.ignores_isolation =
+          step.long_running &&
+          now - slot.crashed_at >= kMaxLongRunningSuspectWait;
       Worker* worker = this->ChooseWorkerForSuspect(slot, evaluate, now, &cost);
-      if (worker == nullptr)
+      context.ignores_isolation = false;
+      if (worker == nullptr) {
+        if (step.long_running && !has_preempted &&
+            now - slot.crashed_at >= kMaxSuspectWait &&
+            !this->FitsAfterIsolation(*candidate, now)) {
+          has_preempted = true;
+          this->Preempt(*candidate, orders, now);
+        }
         continue;
+      }
       this->OrderStart(candidate, index, worker, slot.highest_run + 1, cost,
                        orders, now);
-      worker->avoid_until =
-          std::max(worker->avoid_until, now + kSuspectIsolation);
+      worker->isolated_until = now + kSuspectIsolation;
       changed.push_back(worker);
       search.reset();
       continue;
@@ -384,6 +401,24 @@
   }
 }
 
+bool Scheduler::FitsAfterIsolation(const StepCandidate& candidate,
+                                   absl::Time now) const {
+  PlacementContext context;
+  context.service = candidate.active->queue.service;
+  return std::any_of(
+      this->workers.begin(), this->workers.end(), [&](const auto& entry) {
+        const Worker& worker = *entry.second;
+        const auto same = candidate.same_step.find(worker.vm);
+        context.same_step =
+            same == candidate.same_step.end() ? 0 : same->second;
+        return this->TicketFor(*candidate.active, candidate.occurrence,
+                               candidate.step, worker, now) != nullptr &&
+               FindObstacle(
+                   candidate.Spec(), context, worker, this->interference_model,
+                   now + kSuspectIsolation) == PlacementObstacle::kNone;
+      });
+}
+
 void Scheduler::Preempt(const StepCandidate& candidate,
                         Orders* orders,
                         absl::Time now) {
@@ -438,4 +473,30 @@
   }
 }
 
+ObstacleCounts Scheduler::CountObstacles(const TaskRef& task, absl::Time now) {
+  ObstacleCounts counts = {};
+  ActiveSubmission* active = this->FindActive(task.submission);
+  const TaskSlot* slot = active == nullptr ? nullptr : FindSlot(active, task);
+  if (slot == nullptr)
+    return counts;
+  StepCandidate candidate{active, task.occurrence, task.step, {}, {}, {}};
+  this->CountPlaced(&candidate);
+  PlacementContext context;
+  context.service = active->queue.service;
+  context.can_wait = CanWait(candidate.Spec(), candidate.Slots(), now);
+  for (auto& [vm, worker] : this->workers) {
+    const auto same = candidate.same_step.find(vm);
+    context.same_step = same == candidate.same_step.end() ? 0 : same->second;
+    this->RefreshOutlooks(worker.get(), now);
+    PlacementObstacle obstacle = FindObstacle(
+        candidate.Spec(), context, *worker, this->interference_model, now);
+    if (IsEligible(candidate.Spec(), context, *worker, now) &&
+        this->TicketFor(*active, task.occurrence, task.step, *worker, now) ==
+            nullptr)
+      obstacle = PlacementObstacle::kNoPermit;
+    ++counts.at(static_cast<size_t>(obstacle));
+  }
+  return counts;
+}
+
 }  // namespace cuminjunction
