Split the fault soak into files of one task each

The processes and their settings, the callers and heartbeats, the faults and the record of what callers saw are in testing/soak/.

--- /dev/null
+++ b/testing/soak/clients.cc
@@ -0,0 +1,142 @@
+#include "testing/soak/clients.h"
+
+#include <cstdio>
+#include <nlohmann/json.hpp>
+
+#include "absl/time/clock.h"
+#include "base/strings.h"
+
+namespace cuminjunction {
+namespace {
+
+constexpr char kBody[] =
+    R"({"spec":"text","steps":[{"count":3,"cpu":500,"memMb":10,)"
+    R"("estRuntimeMs":600},{"count":2,"cpu":500,"memMb":10,)"
+    R"("estRuntimeMs":600,"after":[0]}]})";
+
+constexpr absl::Duration kCallLimit = absl::Seconds(3);
+
+constexpr int kCallers = 3;
+constexpr int kTries = 4;
+
+HttpRequest MakeRequest(const std::string& method,
+                        const std::string& path,
+                        const std::string& body) {
+  HttpRequest request;
+  request.method = method;
+  request.path = path;
+  request.body = body;
+  request.headers["Host"] = "shop.example";
+  request.headers["X-Cuminjunction-Deadline-Ms"] = "3000";
+  return request;
+}
+
+}  // namespace
+
+void Clients::Start() {
+  this->beats = std::thread([this] { this->Beat(); });
+  this->callers.reserve(kCallers);
+  for (int number = 0; number < kCallers; ++number)
+    this->callers.emplace_back([this, number] { this->Call(number); });
+}
+
+void Clients::StopCalls() {
+  this->stop_calls = true;
+  for (std::thread& caller : this->callers)
+    caller.join();
+}
+
+void Clients::StopBeats() {
+  this->stop_beats = true;
+  this->beats.join();
+}
+
+void Clients::Beat() {
+  HttpClient client;
+  absl::Time next = absl::InfinitePast();
+  while (!this->stop_beats) {
+    for (const auto& node : this->fleet->Nodes()) {
+      if (node->agent)
+        node->runner->Settle();
+    }
+    if (absl::Now() >= next) {
+      next = absl::Now() + absl::Milliseconds(500);
+      for (const auto& node : this->fleet->Nodes()) {
+        if (!node->agent)
+          continue;
+        // An agent that is away misses the heartbeat.
+        static_cast<void>(client.Send(
+            StrCat("http://", ToString(node->heartbeats)),
+            MakeRequest(
+                "POST",
+                StrCat("/v1/instances/", node->runner->Id(), "/heartbeat"),
+                StrCat(R"({"service":"line","state":"ready","zone":"domain",)",
+                       R"("capacity":{"cpu":4000,"memMb":1000,"gpu":0},)",
+                       R"("labels":["a","r1"],"sequence":)", ++this->sequence,
+                       R"(,"born":)", node->runner->BornMs(), "}")),
+            absl::Now() + absl::Milliseconds(50)));
+      }
+    }
+    absl::SleepFor(absl::Milliseconds(10));
+  }
+}
+
+void Clients::Submit(HttpClient* client, std::mt19937_64* dice, int number) {
+  char id[17];
+  snprintf(id, sizeof(id), "%016lx",
+           (this->seed << 40U) + static_cast<uint64_t>(number));
+  bool certain = true;
+  for (int attempt = 0; attempt < kTries; ++attempt) {
+    const Node& entry =
+        *this->fleet->Entries()[(*dice)() % this->fleet->Entries().size()];
+    const auto answer =
+        client->Send(StrCat("http://", ToString(entry.front)),
+                     MakeRequest("POST", StrCat("/plans/", id), kBody),
+                     absl::Now() + kCallLimit);
+    const int status = answer ? answer.value().status : 0;
+    if (status == 200) {
+      this->record->Accept(id);
+      return;
+    }
+    const bool refused = status == 503 || status == 429 || status == 404 ||
+                         (!answer && answer.error() == HttpError::kNotSent);
+    certain = certain && refused;
+    absl::SleepFor(absl::Milliseconds(100 + (*dice)() % 400));
+  }
+  if (certain)
+    this->record->Refuse(id);
+}
+
+void Clients::Ask(HttpClient* client,
+                  const std::string& id,
+                  const Node& entry) {
+  const auto answer = client->Send(
+      StrCat("http://", ToString(entry.front)),
+      MakeRequest("GET", StrCat("/plans/", id), ""), absl::Now() + kCallLimit);
+  if (!answer)
+    return;
+  if (answer.value().status == 410)
+    this->record->Break(StrCat(id, " was accepted and is not known"));
+  if (answer.value().status != 200)
+    return;
+  const auto body = nlohmann::json::parse(answer.value().body, nullptr, false);
+  if (body.is_object())
+    this->record->Show(id, body.value("state", ""),
+                       this->fleet->Ledger()->Crashes(id));
+}
+
+void Clients::Call(int number) {
+  HttpClient client;
+  std::mt19937_64 dice(this->seed * kCallers + static_cast<uint64_t>(number));
+  while (!this->stop_calls) {
+    this->Submit(&client, &dice, ++this->submitted);
+    const std::vector<std::string> open = this->record->Unfinished();
+    if (!open.empty())
+      this->Ask(
+          &client, open[dice() % open.size()],
+          *this->fleet->Entries()[dice() % this->fleet->Entries().size()]);
+    absl::SleepFor(absl::Milliseconds(50 + dice() % 150));
+  }
+}
+
+}  // namespace cuminjunction
--- /dev/null
+++ b/testing/soak/faults.cc
@@ -0,0 +1,155 @@
+#include "testing/soak/faults.h"
+
+#include <csignal>
+#include <iterator>
+#include <utility>
+
+#include "absl/time/clock.h"
+#include "base/strings.h"
+
+namespace cuminjunction {
+namespace {
+
+// How long the platform waits before it starts a process again.
+constexpr absl::Duration kRestartPause = absl::Milliseconds(500);
+
+}  // namespace
+
+void Faults::Step() {
+  this->RunDue();
+  this->RestartEnded();
+  if (absl::Now() >= this->next) {
+    this->Inject();
+    this->next = absl::Now() + this->Between(0.1, 1.2);
+  }
+  if (absl::Now() >= this->next_crash)
+    this->next_crash = absl::Now() + this->CrashRunner();
+}
+
+void Faults::HealAll() {
+  while (!this->due.empty()) {
+    this->RunDue();
+    this->RestartEnded();
+    absl::SleepFor(absl::Milliseconds(20));
+  }
+}
+
+void Faults::After(absl::Duration pause, std::function<void()> action) {
+  this->due.emplace(absl::Now() + pause, std::move(action));
+}
+
+void Faults::RunDue() {
+  while (!this->due.empty() && this->due.begin()->first <= absl::Now()) {
+    const auto action = std::move(this->due.begin()->second);
+    this->due.erase(this->due.begin());
+    action();
+  }
+}
+
+// The platform starts a process again that ends by itself. A process may fail
+// to listen when a connection of another one has taken its port meanwhile; any
+// other end is a fault.
+void Faults::RestartEnded() {
+  for (const auto& node : this->fleet->Nodes()) {
+    if (node->busy_until > absl::Now() || !node->process.HasEnded())
+      continue;
+    this->record->Break(StrCat(node->name, " ended by itself with code ",
+                               node->process.ExitCode()));
+    node->busy_until = absl::Now() + kRestartPause;
+    this->After(kRestartPause,
+                [this, node = node.get()] { this->fleet->StartNode(node); });
+  }
+}
+
+void Faults::Inject() {
+  ++this->count;
+  Node* node =
+      this->fleet->Nodes()[this->Pick(this->fleet->Nodes().size())].get();
+  switch (this->Pick(6)) {
+    case 0:
+    case 1:
+    case 2:
+      this->DisturbProcess(node);
+      break;
+    case 3:
+      this->DisturbLink(node->store_link.get());
+      break;
+    case 4:
+      if (node->agent)
+        this->DisturbLink(node->runner_link.get());
+      break;
+    default:
+      this->DisturbStore();
+      break;
+  }
+}
+
+void Faults::DisturbProcess(Node* node) {
+  if (node->busy_until > absl::Now())
+    return;
+  absl::Duration length = this->Between(0.2, 2);
+  switch (this->Pick(3)) {
+    case 0:
+      node->process.Signal(SIGKILL);
+      node->process.Wait();
+      this->After(length, [this, node] { this->fleet->StartNode(node); });
+      break;
+    case 1:
+      // A planned stop ends by itself; an entry takes some seconds for it.
+      node->process.Signal(SIGTERM);
+      length = absl::Seconds(7);
+      this->After(length, [this, node] {
+        if (!node->process.Wait())
+          this->record->Break(StrCat(node->name, " does not stop"));
+        this->fleet->StartNode(node);
+      });
+      break;
+    default:
+      node->process.Signal(SIGSTOP);
+      length = this->Between(0.3, 9);
+      this->After(length, [node] { node->process.Signal(SIGCONT); });
+      break;
+  }
+  node->busy_until = absl::Now() + length + absl::Milliseconds(200);
+}
+
+void Faults::DisturbLink(FaultProxy* link) {
+  static constexpr LinkFault link_faults[] = {
+      LinkFault::kDelayed, LinkFault::kCutToServer, LinkFault::kCutToClient,
+      LinkFault::kSilent, LinkFault::kReset};
+  link->SetFault(link_faults[this->Pick(std::size(link_faults))]);
+  this->After(this->Between(0.2, 6),
+              [link] { link->SetFault(LinkFault::kNone); });
+}
+
+void Faults::DisturbStore() {
+  switch (this->Pick(3)) {
+    case 0:
+      this->fleet->Store()->SetRefusing(true);
+      this->After(this->Between(0.3, 6),
+                  [this] { this->fleet->Store()->SetRefusing(false); });
+      break;
+    case 1:
+      this->fleet->Store()->LoseReplies(static_cast<int>(1 + this->Pick(10)));
+      break;
+    default:
+      this->fleet->Store()->Compact();
+      break;
+  }
+}
+
+absl::Duration Faults::CrashRunner() {
+  const std::vector<Node*>& agents = this->fleet->Agents();
+  std::uniform_int_distribution<size_t> number(0, agents.size() - 1);
+  const Node* node = agents[number(this->crash_random)];
+  node->runner->Crash();
+  // Its connections break, and it refuses others until it is back.
+  FaultProxy* link = node->runner_link.get();
+  link->SetFault(LinkFault::kReset);
+  this->After(RunnerStandin::kTimeDown,
+              [link] { link->SetFault(LinkFault::kNone); });
+  return absl::Seconds(
+      std::uniform_real_distribution<double>(0.5, 4)(this->crash_random));
+}
+
+}  // namespace cuminjunction
--- /dev/null
+++ b/testing/soak/faults.h
@@ -0,0 +1,74 @@
+#ifndef TESTING_SOAK_FAULTS_H_
+#define TESTING_SOAK_FAULTS_H_
+
+// The schedule of faults of a soak, drawn from its seed. Series of faults
+// overlap: one may begin before the last one has ended.
+//
+//   Faults faults(&fleet, &record, &random, seed);
+//   while (...) {
+//     faults.Step();
+//     absl::SleepFor(absl::Milliseconds(10));
+//   }
+//   faults.HealAll();
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <random>
+
+#include "absl/time/time.h"
+#include "testing/soak/fleet.h"
+#include "testing/soak/record.h"
+
+namespace cuminjunction {
+
+class Faults {
+ public:
+  // The others must outlive this.
+  Faults(Fleet* fleet, Record* record, std::mt19937_64* random, uint64_t seed)
+      : fleet(fleet), record(record), random(random), crash_random(seed + 1) {}
+
+  // Begins and ends what is due.
+  void Step();
+
+  // Waits until all faults have ended.
+  void HealAll();
+
+  // Starts processes again that have ended by themselves.
+  void RestartEnded();
+
+  // Number of faults without crashes of runners.
+  int Count() const { return this->count; }
+
+ private:
+  void Inject();
+  void DisturbProcess(Node* node);
+  void DisturbLink(FaultProxy* link);
+  void DisturbStore();
+  // Crashes the runner of one agent. Returns the pause until the next crash.
+  absl::Duration CrashRunner();
+  void After(absl::Duration pause, std::function<void()> action);
+  void RunDue();
+  absl::Duration Between(double least_s, double most_s) {
+    return absl::Seconds(
+        std::uniform_real_distribution<double>(least_s, most_s)(*this->random));
+  }
+  size_t Pick(size_t size) {
+    return std::uniform_int_distribution<size_t>(0, size - 1)(*this->random);
+  }
+
+  Fleet* fleet;
+  Record* record;
+  std::mt19937_64* random;
+  // Of the crashes of runners, which come beside the schedule of other faults.
+  std::mt19937_64 crash_random;
+  // Ends of faults, by the time when they are due.
+  std::multimap<absl::Time, std::function<void()>> due;
+  absl::Time next = absl::InfinitePast();
+  absl::Time next_crash = absl::InfinitePast();
+  int count = 0;
+};
+
+}  // namespace cuminjunction
+
+#endif  // TESTING_SOAK_FAULTS_H_
--- /dev/null
+++ b/testing/soak/fleet.cc
@@ -0,0 +1,139 @@
+#include "testing/soak/fleet.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <random>
+#include <set>
+#include <utility>
+
+#include "base/strings.h"
+
+namespace cuminjunction {
+namespace {
+
+constexpr char kPolicy[] =
+    R"({"version":3,"routes":[{"name":"plans","host":"shop.example",)"
+    R"("prefix":"/plans/","service":"line","priority":0,"maxAttempts":2,)"
+    R"("stretch":2,"targetDurationMs":1000}],)"
+    R"("services":[{"name":"line","enforcesCapacity":true}],)"
+    R"("limits":{"maxBodyBytes":65536}})";
+
+// Long enough that faults strike while tasks run.
+constexpr absl::Duration kRunTime = absl::Milliseconds(600);
+
+// A port on which a process can listen now. It is below the range from which
+// the kernel takes the ports of outgoing connections, so that no connection has
+// it when the process is started again, and is given out once, since its
+// process listens only later.
+uint16_t FreePort() {
+  static std::set<uint16_t> given;
+  static std::mt19937 dice(std::random_device{}());
+  std::uniform_int_distribution<uint16_t> ports(15000, 32000);
+  for (;;) {
+    const uint16_t port = ports(dice);
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address = {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(port);
+    const bool free =
+        bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+    close(fd);
+    if (free && given.insert(port).second)
+      return port;
+  }
+}
+
+}  // namespace
+
+Fleet::Fleet(Record* record) : record(record), links("links") {}
+
+bool Fleet::Start(int entry_count, int agent_count) {
+  std::string pattern =
+      (std::filesystem::temp_directory_path() / "cuminjunction-soak-XXXXXX")
+          .string();
+  if (mkdtemp(pattern.data()) == nullptr)
+    return false;
+  this->folder = pattern;
+  this->links.Start();
+  auto started = StoreStandin::Start();
+  if (!started)
+    return false;
+  this->store = std::move(started.value());
+  this->store->Put("op", "", "config", kPolicy);
+  for (int index = 0; index < entry_count + agent_count; ++index) {
+    if (!this->AddNode(index, index >= entry_count))
+      return false;
+  }
+  return true;
+}
+
+bool Fleet::AddNode(int index, bool agent) {
+  auto node = std::make_unique<Node>();
+  node->agent = agent;
+  node->name = StrCat(agent ? "agent-" : "entry-", index);
+  auto link = FaultProxy::Start(&this->links, this->store->Address());
+  if (!link)
+    return false;
+  node->store_link = std::move(link.value());
+  if (agent) {
+    auto runner = RunnerStandin::Start(&this->ledger, kRunTime);
+    if (!runner)
+      return false;
+    node->runner = std::move(runner.value());
+    auto runner_link = FaultProxy::Start(&this->links, node->runner->Address());
+    if (!runner_link)
+      return false;
+    node->runner_link = std::move(runner_link.value());
+  }
+  this->WriteSettings(node.get());
+  this->StartNode(node.get());
+  (agent ? this->agents : this->entries).push_back(node.get());
+  this->nodes.push_back(std::move(node));
+  return true;
+}
+
+void Fleet::WriteSettings(Node* node) {
+  node->settings_file = this->folder + "/" + node->name + ".yaml";
+  std::ofstream file(node->settings_file);
+  file << "name: " << node->name
+       << "\nrole: " << (node->agent ? "agent" : "entry")
+       << "\nregion: region\nfailure_domain: domain\nlog: " << this->folder
+       << "/" << node->name
+       << ".log\nlisten:\n  host: 127.0.0.1\n  peer_port: " << FreePort()
+       << "\nfleet:\n  store: \"" << ToString(node->store_link->Address())
+       << "\"\n  max_lease_ms: 10000\n";
+  if (node->agent) {
+    node->heartbeats = {"127.0.0.1", FreePort()};
+    file << "  heartbeats: \"" << ToString(node->heartbeats)
+         << "\"\n  runner: \"" << ToString(node->runner_link->Address())
+         << "\"\n";
+  } else {
+    node->front = {"127.0.0.1", FreePort()};
+    file << "  submissions: \"" << ToString(node->front)
+         << "\"\n  ready: \"127.0.0.1:" << FreePort() << "\"\n";
+  }
+}
+
+void Fleet::StartNode(Node* node) {
+  if (!node->process.Start({ProgramFolder() + "/cuminjunctiond", "--settings",
+                            node->settings_file}))
+    this->record->Break(StrCat(node->name, " can't be started"));
+}
+
+void Fleet::End() {
+  for (const auto& node : this->nodes) {
+    node->process.Signal(SIGKILL);
+    node->process.Wait();
+  }
+  this->links.Stop();
+}
+
+}  // namespace cuminjunction
--- /dev/null
+++ b/testing/soak/fleet.h
@@ -0,0 +1,87 @@
+#ifndef TESTING_SOAK_FLEET_H_
+#define TESTING_SOAK_FLEET_H_
+
+// The processes of a soak, with the stand-ins around them and the links that
+// faults are injected into.
+//
+//   Record record;
+//   Fleet fleet(&record);
+//   if (!fleet.Start(3, 6))
+//     return false;
+//   ...
+//   fleet.End();
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "base/endpoint.h"
+#include "base/event_thread.h"
+#include "testing/soak/record.h"
+#include "testing/support/child_process.h"
+#include "testing/support/fault_proxy.h"
+#include "testing/support/runner_standin.h"
+#include "testing/support/store_standin.h"
+
+namespace cuminjunction {
+
+// A process of the system with the links that faults are injected into.
+struct Node {
+  std::string name;
+  bool agent = false;
+  std::string settings_file;
+  Endpoint front;
+  Endpoint heartbeats;
+  std::unique_ptr<FaultProxy> store_link;
+  std::unique_ptr<FaultProxy> runner_link;
+  std::unique_ptr<RunnerStandin> runner;
+  ChildProcess process;
+  // A fault of the process itself lasts until then.
+  absl::Time busy_until = absl::InfinitePast();
+};
+
+class Fleet {
+ public:
+  // `record` must outlive the fleet.
+  explicit Fleet(Record* record);
+
+  // Starts the stand-ins and the processes. False when a stand-in can't be
+  // started.
+  bool Start(int entry_count, int agent_count);
+
+  // Starts the process of a node, which must not run.
+  void StartNode(Node* node);
+
+  // Kills the processes and closes the links.
+  void End();
+
+  // The folder of settings and logs.
+  const std::string& Folder() const { return this->folder; }
+
+  // All nodes; the entries come first.
+  const std::vector<std::unique_ptr<Node>>& Nodes() const {
+    return this->nodes;
+  }
+  const std::vector<Node*>& Entries() const { return this->entries; }
+  const std::vector<Node*>& Agents() const { return this->agents; }
+  StoreStandin* Store() const { return this->store.get(); }
+  RunLedger* Ledger() { return &this->ledger; }
+
+ private:
+  bool AddNode(int index, bool agent);
+  void WriteSettings(Node* node);
+
+  Record* record;
+  std::string folder;
+  EventThread links;
+  std::unique_ptr<StoreStandin> store;
+  RunLedger ledger;
+  std::vector<std::unique_ptr<Node>> nodes;
+  std::vector<Node*> entries;
+  std::vector<Node*> agents;
+};
+
+}  // namespace cuminjunction
+
+#endif  // TESTING_SOAK_FLEET_H_
