Carry out orders late and cancel submissions in the fault soak

Each 0.3 to 2 s a runner now leaves 0.3 to 0.6 of its calls without an answer for 1 to 6 s and carries them out 0.5 to 4 s later. A third of the runners keep their id across crashes; a runner that comes back sends a heartbeat at once. Callers cancel submissions, and no task of these may start later than cancel_ms after the acknowledgement, except by an order that its runner carried out late. The soak ends when no order is pending, so that late starts are seen.

--- a/testing/soak/clients.cc
+++ b/testing/soak/clients.cc
@@ -1,7 +1,9 @@
 #include "testing/soak/clients.h"
 
 #include <cstdio>
+#include <map>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "absl/time/clock.h"
 #include "base/strings.h"
@@ -19,6 +21,9 @@
 constexpr int kCallers = 3;
 constexpr int kTries = 4;
 
+// One of so many times a caller cancels the newest submission.
+constexpr int kCallsPerCancel = 6;
+
 HttpRequest MakeRequest(const std::string& method,
                         const std::string& path,
                         const std::string& body) {
@@ -51,31 +56,33 @@
   this->beats.join();
 }
 
+void Clients::SendHeartbeat(HttpClient* client, const Node& node) {
+  // An agent that is away misses the heartbeat.
+  static_cast<void>(client->Send(
+      StrCat("http://", ToString(node.heartbeats)),
+      MakeRequest(
+          "POST", StrCat("/v1/instances/", node.runner->Id(), "/heartbeat"),
+          StrCat(R"({"service":"line","state":"ready","zone":"domain",)",
+                 R"("capacity":{"cpu":4000,"memMb":1000,"gpu":0},)",
+                 R"("labels":["a","r1"],"sequence":)", ++this->sequence,
+                 R"(,"born":)", node.runner->BornMs(), "}")),
+      absl::Now() + absl::Milliseconds(50)));
+}
+
 void Clients::Beat() {
   HttpClient client;
+  std::map<const Node*, int64_t> born_ms;
   absl::Time next = absl::InfinitePast();
   while (!this->stop_beats) {
-    for (const auto& node : this->fleet->Nodes()) {
-      if (node->agent)
-        node->runner->Settle();
-    }
-    if (absl::Now() >= next) {
+    const bool all = absl::Now() >= next;
+    if (all)
       next = absl::Now() + absl::Milliseconds(500);
-      for (const auto& node : this->fleet->Nodes()) {
-        if (!node->agent)
-          continue;
-        // An agent that is away misses the heartbeat.
-        static_cast<void>(client.Send(
-            StrCat("http://", ToString(node->heartbeats)),
-            MakeRequest(
-                "POST",
-                StrCat("/v1/instances/", node->runner->Id(), "/heartbeat"),
-                StrCat(R"({"service":"line","state":"ready","zone":"domain",)",
-                       R"("capacity":{"cpu":4000,"memMb":1000,"gpu":0},)",
-                       R"("labels":["a","r1"],"sequence":)", ++this->sequence,
-                       R"(,"born":)", node->runner->BornMs(), "}")),
-            absl::Now() + absl::Milliseconds(50)));
-      }
+    for (const Node* node : this->fleet->Agents()) {
+      node->runner->Settle();
+      if (std::exchange(born_ms[node], node->runner->BornMs()) !=
+              node->runner->BornMs() ||
+          all)
+        this->SendHeartbeat(&client, *node);
     }
     absl::SleepFor(absl::Milliseconds(10));
   }
@@ -115,7 +122,7 @@
       MakeRequest("GET", StrCat("/plans/", id), ""), absl::Now() + kCallLimit);
   if (!answer)
     return;
-  if (answer.value().status == 410)
+  if (answer.value().status == 410 && !this->record->IsCancelSent(id))
     this->record->Break(StrCat(id, " was accepted and is not known"));
   if (answer.value().status != 200)
     return;
@@ -125,16 +132,42 @@
                        this->fleet->Ledger()->Crashes(id));
 }
 
+void Clients::Cancel(HttpClient* client,
+                     std::mt19937_64* dice,
+                     const std::string& id) {
+  this->record->SendCancel(id);
+  for (int attempt = 0; attempt < kTries; ++attempt) {
+    const Node& entry =
+        *this->fleet->Entries()[(*dice)() % this->fleet->Entries().size()];
+    const auto answer =
+        client->Send(StrCat("http://", ToString(entry.front)),
+                     MakeRequest("DELETE", StrCat("/plans/", id), ""),
+                     absl::Now() + kCallLimit);
+    const int status = answer ? answer.value().status : 0;
+    if (status == 410)
+      this->record->Break(StrCat(id, " was accepted and can't be cancelled"));
+    if (status / 100 == 2 || status == 410) {
+      this->record->AcknowledgeCancel(id, absl::Now());
+      return;
+    }
+    absl::SleepFor(absl::Milliseconds(100 + (*dice)() % 400));
+  }
+}
+
 void Clients::Call(int number) {
   HttpClient client;
   std::mt19937_64 dice(this->seed * kCallers + static_cast<uint64_t>(number));
   while (!this->stop_calls) {
     this->Submit(&client, &dice, ++this->submitted);
     const std::vector<std::string> open = this->record->Unfinished();
-    if (!open.empty())
+    if (!open.empty()) {
+      const std::string& id = open[dice() % open.size()];
       this->Ask(
-          &client, open[dice() % open.size()],
+          &client, id,
           *this->fleet->Entries()[dice() % this->fleet->Entries().size()]);
+      if (dice() % kCallsPerCancel == 0)
+        this->Cancel(&client, &dice, open.back());
+    }
     absl::SleepFor(absl::Milliseconds(50 + dice() % 150));
   }
 }
--- a/testing/soak/clients.h
+++ b/testing/soak/clients.h
@@ -1,7 +1,8 @@
 #ifndef TESTING_SOAK_CLIENTS_H_
 #define TESTING_SOAK_CLIENTS_H_
 
-// Callers that submit work and read its state, and the runners' heartbeats.
+// Callers that submit work, read its state and cancel some of it, and the
+// runners' heartbeats.
 //
 //   Clients clients(&fleet, &record, seed);
 //   clients.Start();
@@ -45,8 +46,12 @@
 
  private:
   void Call(int number);
+  // Cancels a submission; sends the call again until it is acknowledged.
+  void Cancel(HttpClient* client, std::mt19937_64* dice, const std::string& id);
   void Submit(HttpClient* client, std::mt19937_64* dice, int number);
-  // Sends the runners' heartbeats and lets their tasks end in time.
+  void SendHeartbeat(HttpClient* client, const Node& node);
+  // Sends the runners' heartbeats, at once when a runner is born, and lets
+  // their tasks end in time.
   void Beat();
 
   Fleet* fleet;
--- a/testing/soak/faults.cc
+++ b/testing/soak/faults.cc
@@ -24,6 +24,8 @@
   }
   if (absl::Now() >= this->next_crash)
     this->next_crash = absl::Now() + this->CrashRunner();
+  if (absl::Now() >= this->next_late)
+    this->next_late = absl::Now() + this->DelayOrders();
 }
 
 void Faults::HealAll() {
@@ -138,6 +140,24 @@
   }
 }
 
+absl::Duration Faults::DelayOrders() {
+  const auto between = [this](double least, double most) {
+    return std::uniform_real_distribution<double>(least,
+                                                  most)(this->late_random);
+  };
+  const std::vector<Node*>& agents = this->fleet->Agents();
+  std::uniform_int_distribution<size_t> number(0, agents.size() - 1);
+  const Node* node = agents[number(this->late_random)];
+  const double share = between(0.3, 0.6);
+  const absl::Duration delay = absl::Seconds(between(0.5, 4));
+  const absl::Duration length = absl::Seconds(between(1, 6));
+  node->runner->DelayCalls(share, delay,
+                           static_cast<uint32_t>(this->late_random()));
+  this->After(length,
+              [node] { node->runner->DelayCalls(0, absl::ZeroDuration(), 0); });
+  return absl::Seconds(between(0.3, 2));
+}
+
 absl::Duration Faults::CrashRunner() {
   const std::vector<Node*>& agents = this->fleet->Agents();
   std::uniform_int_distribution<size_t> number(0, agents.size() - 1);
--- a/testing/soak/faults.h
+++ b/testing/soak/faults.h
@@ -26,7 +26,11 @@
  public:
   // The others must outlive this.
   Faults(Fleet* fleet, Record* record, std::mt19937_64* random, uint64_t seed)
-      : fleet(fleet), record(record), random(random), crash_random(seed + 1) {}
+      : fleet(fleet),
+        record(record),
+        random(random),
+        crash_random(seed + 1),
+        late_random(seed + 2) {}
 
   // Begins and ends what is due.
   void Step();
@@ -37,7 +41,7 @@
   // Starts processes again that have ended by themselves.
   void RestartEnded();
 
-  // Number of faults without crashes of runners.
+  // Number of faults without crashes of runners and late orders.
   int Count() const { return this->count; }
 
  private:
@@ -47,6 +51,9 @@
   void DisturbStore();
   // Crashes the runner of one agent. Returns the pause until the next crash.
   absl::Duration CrashRunner();
+  // Lets the runner of one agent carry out a share of its calls late for some
+  // time. Returns the pause until the next such series.
+  absl::Duration DelayOrders();
   void After(absl::Duration pause, std::function<void()> action);
   void RunDue();
   absl::Duration Between(double least_s, double most_s) {
@@ -62,10 +69,13 @@
   std::mt19937_64* random;
   // Of the crashes of runners, which come beside the schedule of other faults.
   std::mt19937_64 crash_random;
+  // Of late orders, which come beside it too.
+  std::mt19937_64 late_random;
   // Ends of faults, by the time when they are due.
   std::multimap<absl::Time, std::function<void()>> due;
   absl::Time next = absl::InfinitePast();
   absl::Time next_crash = absl::InfinitePast();
+  absl::Time next_late = absl::InfinitePast();
   int count = 0;
 };
 
--- a/testing/soak/fleet.cc
+++ b/testing/soak/fleet.cc
@@ -53,7 +53,8 @@
 
 }  // namespace
 
-Fleet::Fleet(Record* record) : record(record), links("links") {}
+Fleet::Fleet(Record* record, uint64_t seed)
+    : record(record), random(seed + 3), links("links") {}
 
 bool Fleet::Start(int entry_count, int agent_count) {
   std::string pattern =
@@ -88,6 +89,8 @@
     if (!runner)
       return false;
     node->runner = std::move(runner.value());
+    if (this->random() % 3 == 0)
+      node->runner->KeepId();
     auto runner_link = FaultProxy::Start(&this->links, node->runner->Address());
     if (!runner_link)
       return false;
--- a/testing/soak/fleet.h
+++ b/testing/soak/fleet.h
@@ -5,13 +5,15 @@
 // faults are injected into.
 //
 //   Record record;
-//   Fleet fleet(&record);
+//   Fleet fleet(&record, seed);
 //   if (!fleet.Start(3, 6))
 //     return false;
 //   ...
 //   fleet.End();
 
+#include <cstdint>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -43,8 +45,9 @@
 
 class Fleet {
  public:
-  // `record` must outlive the fleet.
-  explicit Fleet(Record* record);
+  // `record` must outlive the fleet. The seed draws the runners that keep their
+  // ids across crashes.
+  Fleet(Record* record, uint64_t seed);
 
   // Starts the stand-ins and the processes. False when a stand-in can't be
   // started.
@@ -73,6 +76,7 @@
   void WriteSettings(Node* node);
 
   Record* record;
+  std::mt19937_64 random;
   std::string folder;
   EventThread links;
   std::unique_ptr<StoreStandin> store;
--- a/testing/soak/record.cc
+++ b/testing/soak/record.cc
@@ -10,6 +10,10 @@
 // The platform's rules let a task be given up after so many crashes.
 constexpr int kCrashesToGiveUp = 2;
 
+bool IsFinal(const std::string& state) {
+  return state == "completed" || state == "failed" || state == "cancelled";
+}
+
 }  // namespace
 
 void Record::Accept(const std::string& id) {
@@ -32,18 +36,40 @@
                   int crashes) {
   absl::MutexLock lock(&this->mutex);
   std::string& known = this->accepted[id];
-  if ((known == "completed" || known == "failed") && state != known)
-    this->broken.push_back(StrCat(id, " went back to ", state));
-  if (state == "cancelled" || (state == "failed" && crashes < kCrashesToGiveUp))
+  if (IsFinal(known) && state != known)
+    this->broken.push_back(StrCat(id, " went from ", known, " to ", state));
+  const bool cancel = this->cancel_sent.contains(id);
+  if ((state == "cancelled" && !cancel) ||
+      (state == "failed" && crashes < kCrashesToGiveUp))
     this->broken.push_back(StrCat(id, " is shown as ", state));
   known = state;
 }
 
+void Record::SendCancel(const std::string& id) {
+  absl::MutexLock lock(&this->mutex);
+  this->cancel_sent.insert(id);
+}
+
+void Record::AcknowledgeCancel(const std::string& id, absl::Time at) {
+  absl::MutexLock lock(&this->mutex);
+  this->cancelled.emplace(id, at);
+}
+
+std::map<std::string, absl::Time> Record::Cancelled() const {
+  absl::MutexLock lock(&this->mutex);
+  return this->cancelled;
+}
+
+bool Record::IsCancelSent(const std::string& id) const {
+  absl::MutexLock lock(&this->mutex);
+  return this->cancel_sent.contains(id);
+}
+
 std::vector<std::string> Record::Unfinished() const {
   absl::MutexLock lock(&this->mutex);
   std::vector<std::string> ids;
   for (const auto& [id, state] : this->accepted) {
-    if (state != "completed" && state != "failed")
+    if (!IsFinal(state))
       ids.push_back(id);
   }
   return ids;
--- a/testing/soak/record.h
+++ b/testing/soak/record.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
 
 namespace cuminjunction {
 
@@ -24,6 +25,11 @@
   void Refuse(const std::string& id);
   void Break(const std::string& what);
 
+  // A call that cancels an accepted submission is about to be sent.
+  void SendCancel(const std::string& id);
+  // Such a call was acknowledged at this time.
+  void AcknowledgeCancel(const std::string& id, absl::Time at);
+
   // Takes note of a state that was read. `crashes` is the most crashes of
   // runners that one of its tasks has seen.
   void Show(const std::string& id, const std::string& state, int crashes);
@@ -34,6 +40,9 @@
   size_t AcceptedCount() const;
   size_t FailedCount() const;
   std::set<std::string> Refused() const;
+  // When the cancellation was first acknowledged, by submission.
+  std::map<std::string, absl::Time> Cancelled() const;
+  bool IsCancelSent(const std::string& id) const;
   std::vector<std::string> Broken() const;
 
  private:
@@ -41,6 +50,8 @@
   // The last state that was shown, by submission.
   std::map<std::string, std::string> accepted;
   std::set<std::string> refused;
+  std::set<std::string> cancel_sent;
+  std::map<std::string, absl::Time> cancelled;
   std::vector<std::string> broken;
 };
 
--- a/testing/soak_main.cc
+++ b/testing/soak_main.cc
@@ -2,8 +2,8 @@
 // programs run as processes of their own on loopback, against stand-ins of the
 // store and the runners, while faults are injected from outside. It checks from
 // what callers and runners see that nothing accepted is lost, nothing runs
-// twice, nothing refused runs and no final state changes. A submission may fail
-// only if runners have crashed under one of its tasks.
+// twice, nothing refused or cancelled runs and no final state changes. A
+// submission may fail only if runners have crashed under one of its tasks.
 //
 //   soak --seed 7 --seconds 20 --entries 3 --agents 6
 //
@@ -16,6 +16,7 @@
 #include <csignal>
 #include <filesystem>
 #include <iostream>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <random>
 #include <set>
@@ -38,6 +39,11 @@
 // longest grant and the work need together.
 constexpr absl::Duration kEndLimit = absl::Seconds(240);
 
+// How long after its acknowledged cancellation tasks of a submission may start:
+// cancel_ms of the users' rules. It does not hold for orders that a runner
+// carried out late.
+constexpr absl::Duration kCancelLimit = absl::Seconds(3);
+
 struct Options {
   uint64_t seed = 1;
   double seconds = 20;
@@ -50,7 +56,7 @@
   explicit Soak(const Options& options)
       : options(options),
         random(options.seed),
-        fleet(&this->record),
+        fleet(&this->record, options.seed),
         clients(&this->fleet, &this->record, options.seed),
         faults(&this->fleet, &this->record, &this->random, options.seed) {}
 
@@ -58,6 +64,9 @@
 
  private:
   void AwaitEnd();
+  // True while a runner has orders that it will carry out late, or runs tasks.
+  bool AreOrdersPending();
+  void CheckCancellations();
   void Check();
   // Prints what was seen.
   void Report(const std::vector<std::string>& broken);
@@ -70,6 +79,14 @@
   Faults faults;
 };
 
+bool Soak::AreOrdersPending() {
+  const std::vector<Node*>& agents = this->fleet.Agents();
+  return this->fleet.Ledger()->Running() > 0 ||
+         std::any_of(agents.begin(), agents.end(), [](const Node* node) {
+           return node->runner->KeptCalls() > 0;
+         });
+}
+
 void Soak::AwaitEnd() {
   HttpClient client;
   const std::vector<Node*>& entries = this->fleet.Entries();
@@ -77,7 +94,7 @@
   const absl::Time limit = absl::Now() + kEndLimit;
   for (;;) {
     const std::vector<std::string> open = this->record.Unfinished();
-    if (open.empty() || absl::Now() > limit)
+    if ((open.empty() && !this->AreOrdersPending()) || absl::Now() > limit)
       break;
     this->faults.RestartEnded();
     for (const std::string& id : open)
@@ -86,7 +103,22 @@
   }
 }
 
+void Soak::CheckCancellations() {
+  const std::map<std::string, absl::Time> cancelled = this->record.Cancelled();
+  for (const RunStart& start : this->fleet.Ledger()->StartList()) {
+    const auto found =
+        cancelled.find(start.task.substr(0, start.task.find('.')));
+    if (found != cancelled.end() && !start.late &&
+        start.at > found->second + kCancelLimit)
+      this->record.Break(
+          StrCat(start.task, " was started ",
+                 absl::ToInt64Milliseconds(start.at - found->second),
+                 " ms after its cancellation"));
+  }
+}
+
 void Soak::Check() {
+  this->CheckCancellations();
   for (const std::string& id : this->record.Unfinished())
     this->record.Break(StrCat(id, " was accepted and is not completed"));
   for (const std::string& violation : this->fleet.Ledger()->ViolationTexts())
@@ -134,6 +166,7 @@
       {"refused", this->record.Refused().size()},
       {"starts", this->fleet.Ledger()->Starts()},
       {"tasks", this->record.AcceptedCount() * Clients::kTasks},
+      {"cancelled", this->record.Cancelled().size()},
       {"given_up", this->record.FailedCount()},
       {"broken", broken}};
   if (broken.empty())
--- a/testing/support/runner_standin.cc
+++ b/testing/support/runner_standin.cc
@@ -36,9 +36,9 @@
 
 }  // namespace
 
-void RunLedger::Begin(const std::string& task) {
+void RunLedger::Begin(const std::string& task, bool late) {
   absl::MutexLock lock(&this->mutex);
-  ++this->starts;
+  this->starts.push_back({task, absl::Now(), late});
   this->started.insert(task.substr(0, task.find('.')));
   if (++this->running[task] > 1)
     this->violations.push_back(StrCat(task, " was started while it ran"));
@@ -101,6 +101,11 @@
 }
 
 int RunLedger::Starts() const {
+  absl::MutexLock lock(&this->mutex);
+  return static_cast<int>(this->starts.size());
+}
+
+std::vector<RunStart> RunLedger::StartList() const {
   absl::MutexLock lock(&this->mutex);
   return this->starts;
 }
@@ -217,12 +222,14 @@
     due.push_back(std::move(*call));
     call = this->late_calls.erase(call);
   }
+  this->is_late = true;
   for (const LateCall& call : due) {
     int64_t last_seen = 0;
     int64_t wait_ms = 0;
     if (this->CarryOut(call.request, &last_seen, &wait_ms).status == 200)
       this->ForgetEnds(last_seen);
   }
+  this->is_late = false;
 }
 
 std::string RunnerStandin::Id() const {
@@ -288,7 +295,7 @@
     if (this->lease_until_ms <= this->ClockMs())
       return this->Refuse("late");
     this->running[task] = {run, SteadyClock().Now() + this->run_time};
-    this->ledger->Begin(task);
+    this->ledger->Begin(task, this->is_late);
     if (task == this->crash_task)
       this->crash_at = SteadyClock().Now() + kTimeToCrash;
   }
--- a/testing/support/runner_standin.h
+++ b/testing/support/runner_standin.h
@@ -29,10 +29,18 @@
 
 namespace cuminjunction {
 
+// A start of a run.
+struct RunStart {
+  std::string task;
+  absl::Time at;
+  // The runner carried out the order after its delay.
+  bool late = false;
+};
+
 // What all runners of a test have run. Callable from any thread.
 class RunLedger {
  public:
-  void Begin(const std::string& task);
+  void Begin(const std::string& task, bool late = false);
   void End(const std::string& task);
   // Ends a run of the task with its runner.
   void Crash(const std::string& task);
@@ -43,6 +51,7 @@
   std::vector<std::string> ViolationTexts() const;
   // Starts of all tasks.
   int Starts() const;
+  std::vector<RunStart> StartList() const;
   // Runs that have not ended.
   int Running() const;
   // Tasks whose end as done was confirmed.
@@ -59,7 +68,7 @@
   std::set<std::string> confirmed;
   std::set<std::string> started;
   std::vector<std::string> violations;
-  int starts = 0;
+  std::vector<RunStart> starts;
 };
 
 class RunnerStandin {
@@ -185,6 +194,8 @@
   absl::Duration delay;
   std::mt19937 delay_random;
   std::vector<LateCall> late_calls;
+  // A late call is being carried out.
+  bool is_late = false;
   std::string id;
   bool keep_id = false;
   std::string crash_task;
