--- a/testing/soak/faults.cc
+++ b/testing/soak/faults.cc
@@ -1,5 +1,6 @@
 #include "testing/soak/faults.h"
 
+#include <algorithm>
 #include <csignal>
 #include <iterator>
 #include <utility>
@@ -13,6 +14,9 @@
 // How long the platform waits before it starts a process again.
 constexpr absl::Duration kRestartPause = absl::Milliseconds(500);
 
+// The pauses between faults are those of a fleet of this size or less.
+constexpr size_t kSmallFleet = 9;
+
 }  // namespace
 
 void Faults::Step() {
@@ -20,12 +24,17 @@
   this->RestartEnded();
   if (absl::Now() >= this->next) {
     this->Inject();
-    this->next = absl::Now() + this->Between(0.1, 1.2);
+    this->next = absl::Now() + this->Scaled(this->Between(0.1, 1.2));
   }
   if (absl::Now() >= this->next_crash)
-    this->next_crash = absl::Now() + this->CrashRunner();
+    this->next_crash = absl::Now() + this->Scaled(this->CrashRunner());
   if (absl::Now() >= this->next_late)
-    this->next_late = absl::Now() + this->DelayOrders();
+    this->next_late = absl::Now() + this->Scaled(this->DelayOrders());
+}
+
+absl::Duration Faults::Scaled(absl::Duration pause) const {
+  const size_t size = std::max(this->fleet->Nodes().size(), kSmallFleet);
+  return pause * (static_cast<double>(kSmallFleet) / static_cast<double>(size));
 }
 
 void Faults::HealAll() {
@@ -58,6 +67,7 @@
     this->record->Break(StrCat(node->name, " ended by itself with code ",
                                node->process.ExitCode()));
     node->busy_until = absl::Now() + kRestartPause;
+    node->disturbances.Add(absl::Now(), node->busy_until);
     this->After(kRestartPause,
                 [this, node = node.get()] { this->fleet->StartNode(node); });
   }
@@ -74,14 +84,16 @@
       this->DisturbProcess(node);
       break;
     case 3:
-      this->DisturbLink(node->store_link.get());
+      this->DisturbLink(node, node->store_link.get());
       break;
     case 4:
       if (node->agent)
-        this->DisturbLink(node->runner_link.get());
+        this->DisturbLink(node, node->runner_link.get());
       break;
     default:
-      this->DisturbStore();
+      if (this->fleet->Nodes().size() <= kSmallFleet ||
+          this->Pick(this->fleet->Nodes().size()) < kSmallFleet)
+        this->DisturbStore();
       break;
   }
 }
@@ -113,31 +125,36 @@
       break;
   }
   node->busy_until = absl::Now() + length + absl::Milliseconds(200);
+  node->disturbances.Add(absl::Now(), node->busy_until);
 }
 
-void Faults::DisturbLink(FaultProxy* link) {
+void Faults::DisturbLink(Node* node, FaultProxy* link) {
   static constexpr LinkFault link_faults[] = {
       LinkFault::kDelayed, LinkFault::kCutToServer, LinkFault::kCutToClient,
       LinkFault::kSilent, LinkFault::kReset};
   link->SetFault(link_faults[this->Pick(std::size(link_faults))]);
-  this->After(this->Between(0.2, 6),
-              [link] { link->SetFault(LinkFault::kNone); });
+  const absl::Duration length = this->Between(0.2, 6);
+  node->disturbances.Add(absl::Now(), absl::Now() + length);
+  this->After(length, [link] { link->SetFault(LinkFault::kNone); });
 }
 
 void Faults::DisturbStore() {
+  absl::Duration length;
   switch (this->Pick(3)) {
     case 0:
       this->fleet->Store()->SetRefusing(true);
-      this->After(this->Between(0.3, 6),
-                  [this] { this->fleet->Store()->SetRefusing(false); });
+      length = this->Between(0.3, 6);
+      this->After(length, [this] { this->fleet->Store()->SetRefusing(false); });
       break;
     case 1:
       this->fleet->Store()->LoseReplies(static_cast<int>(1 + this->Pick(10)));
       break;
     default:
+      // A sound store may drop its history at any time.
       this->fleet->Store()->Compact();
-      break;
+      return;
   }
+  this->fleet->StoreDisturbances()->Add(absl::Now(), absl::Now() + length);
 }
 
 absl::Duration Faults::DelayOrders() {
@@ -161,11 +178,12 @@
 absl::Duration Faults::CrashRunner() {
   const std::vector<Node*>& agents = this->fleet->Agents();
   std::uniform_int_distribution<size_t> number(0, agents.size() - 1);
-  const Node* node = agents[number(this->crash_random)];
+  Node* node = agents[number(this->crash_random)];
   node->runner->Crash();
   // Its connections break, and it refuses others until it is back.
   FaultProxy* link = node->runner_link.get();
   link->SetFault(LinkFault::kReset);
+  node->disturbances.Add(absl::Now(), absl::Now() + RunnerStandin::kTimeDown);
   this->After(RunnerStandin::kTimeDown,
               [link] { link->SetFault(LinkFault::kNone); });
   return absl::Seconds(
--- a/testing/soak/faults.h
+++ b/testing/soak/faults.h
@@ -47,7 +47,7 @@
  private:
   void Inject();
   void DisturbProcess(Node* node);
-  void DisturbLink(FaultProxy* link);
+  void DisturbLink(Node* node, FaultProxy* link);
   void DisturbStore();
   // Crashes the runner of one agent. Returns the pause until the next crash.
   absl::Duration CrashRunner();
@@ -60,6 +60,9 @@
     return absl::Seconds(
         std::uniform_real_distribution<double>(least_s, most_s)(*this->random));
   }
+  // The pause until a fault of one kind comes again. It is shorter in a large
+  // fleet, so that each node has as many faults as in a small one.
+  absl::Duration Scaled(absl::Duration pause) const;
   size_t Pick(size_t size) {
     return std::uniform_int_distribution<size_t>(0, size - 1)(*this->random);
   }
--- a/testing/soak/fleet.cc
+++ b/testing/soak/fleet.cc
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -53,6 +54,12 @@
 
 }  // namespace
 
+bool Disturbances::Overlap(absl::Time from, absl::Time to) const {
+  return std::any_of(
+      this->spans.begin(), this->spans.end(),
+      [&](const Span& span) { return span.from <= to && from <= span.to; });
+}
+
 Fleet::Fleet(Record* record, uint64_t seed)
     : record(record), random(seed + 3), links("links") {}
 
--- a/testing/soak/fleet.h
+++ b/testing/soak/fleet.h
@@ -28,6 +28,23 @@
 
 namespace cuminjunction {
 
+// The times in which something was disturbed.
+class Disturbances {
+ public:
+  void Add(absl::Time from, absl::Time to) {
+    this->spans.push_back({from, to});
+  }
+  // True if one of them overlaps this span.
+  bool Overlap(absl::Time from, absl::Time to) const;
+
+ private:
+  struct Span {
+    absl::Time from;
+    absl::Time to;
+  };
+  std::vector<Span> spans;
+};
+
 // A process of the system with the links that faults are injected into.
 struct Node {
   std::string name;
@@ -41,6 +58,7 @@
   ChildProcess process;
   // A fault of the process itself lasts until then.
   absl::Time busy_until = absl::InfinitePast();
+  Disturbances disturbances;
 };
 
 class Fleet {
@@ -69,6 +87,8 @@
   const std::vector<Node*>& Entries() const { return this->entries; }
   const std::vector<Node*>& Agents() const { return this->agents; }
   StoreStandin* Store() const { return this->store.get(); }
+  // The times in which the store refused calls or lost replies.
+  Disturbances* StoreDisturbances() { return &this->store_disturbances; }
   RunLedger* Ledger() { return &this->ledger; }
 
  private:
@@ -80,6 +100,7 @@
   std::string folder;
   EventThread links;
   std::unique_ptr<StoreStandin> store;
+  Disturbances store_disturbances;
   RunLedger ledger;
   std::vector<std::unique_ptr<Node>> nodes;
   std::vector<Node*> entries;
--- a/testing/soak_main.cc
+++ b/testing/soak_main.cc
@@ -41,8 +41,10 @@
 
 // How long after its acknowledged cancellation tasks of a submission may start:
 // cancel_ms of the users' rules. It does not hold for orders that a runner
-// carried out late.
+// carried out late, nor if the store or the agent, its links or its runner have
+// been disturbed in the last kContact (contactMs of the rules).
 constexpr absl::Duration kCancelLimit = absl::Seconds(3);
+constexpr absl::Duration kContact = absl::Seconds(4);
 
 struct Options {
   uint64_t seed = 1;
@@ -67,6 +69,8 @@
   // True while a runner has orders that it will carry out late, or runs tasks.
   bool AreOrdersPending();
   void CheckCancellations();
+  // True if a bound on the time holds for this start.
+  bool WasInTouch(const RunStart& start);
   void Check();
   // Prints what was seen.
   void Report(const std::vector<std::string>& broken);
@@ -103,13 +107,24 @@
   }
 }
 
+bool Soak::WasInTouch(const RunStart& start) {
+  const absl::Time from = start.at - kContact;
+  if (start.late || this->fleet.StoreDisturbances()->Overlap(from, start.at))
+    return false;
+  const std::vector<Node*>& agents = this->fleet.Agents();
+  return std::none_of(agents.begin(), agents.end(), [&](const Node* node) {
+    return node->runner.get() == start.runner &&
+           node->disturbances.Overlap(from, start.at);
+  });
+}
+
 void Soak::CheckCancellations() {
   const std::map<std::string, absl::Time> cancelled = this->record.Cancelled();
   for (const RunStart& start : this->fleet.Ledger()->StartList()) {
     const auto found =
         cancelled.find(start.task.substr(0, start.task.find('.')));
-    if (found != cancelled.end() && !start.late &&
-        start.at > found->second + kCancelLimit)
+    if (found != cancelled.end() && start.at > found->second + kCancelLimit &&
+        this->WasInTouch(start))
       this->record.Break(
           StrCat(start.task, " was started ",
                  absl::ToInt64Milliseconds(start.at - found->second),
--- a/testing/support/runner_standin.cc
+++ b/testing/support/runner_standin.cc
@@ -36,9 +36,11 @@
 
 }  // namespace
 
-void RunLedger::Begin(const std::string& task, bool late) {
+void RunLedger::Begin(const std::string& task,
+                      const RunnerStandin* runner,
+                      bool late) {
   absl::MutexLock lock(&this->mutex);
-  this->starts.push_back({task, absl::Now(), late});
+  this->starts.push_back({runner, task, absl::Now(), late});
   this->started.insert(task.substr(0, task.find('.')));
   if (++this->running[task] > 1)
     this->violations.push_back(StrCat(task, " was started while it ran"));
@@ -295,7 +297,7 @@
     if (this->lease_until_ms <= this->ClockMs())
       return this->Refuse("late");
     this->running[task] = {run, SteadyClock().Now() + this->run_time};
-    this->ledger->Begin(task, this->is_late);
+    this->ledger->Begin(task, this, this->is_late);
     if (task == this->crash_task)
       this->crash_at = SteadyClock().Now() + kTimeToCrash;
   }
--- a/testing/support/runner_standin.h
+++ b/testing/support/runner_standin.h
@@ -29,8 +29,11 @@
 
 namespace cuminjunction {
 
+class RunnerStandin;
+
 // A start of a run.
 struct RunStart {
+  const RunnerStandin* runner = nullptr;
   std::string task;
   absl::Time at;
   // The runner carried out the order after its delay.
@@ -40,7 +43,7 @@
 // What all runners of a test have run. Callable from any thread.
 class RunLedger {
  public:
-  void Begin(const std::string& task, bool late = false);
+  void Begin(const std::string& task, const RunnerStandin* runner, bool late);
   void End(const std::string& task);
   // Ends a run of the task with its runner.
   void Crash(const std::string& task);
