--- a/submission/place.cc
+++ b/submission/place.cc
@@ -73,11 +73,11 @@
 }  // namespace
 
 std::string_view ToString(PlacementObstacle obstacle) {
-  static constexpr std::array<std::string_view, kPlacementObstacles> kNames = {
+  static constexpr std::array<std::string_view, kPlacementObstacles> names = {
       "free",          "unusable",    "not_synced", "draining",
       "other_service", "avoided",     "label",      "max_per_vm",
       "no_permit",     "no_capacity", "reserved",   "interference"};
-  return kNames.at(static_cast<size_t>(obstacle));
+  return names.at(static_cast<size_t>(obstacle));
 }
 
 double UsedShare(const Worker& worker) {
