Log starts without an answer and runs that vanish from a runner's list

Behaviour does not change.

Test: FleetLogTest.AStartWithoutAnAnswerIsLogged. `run_vanished` has no test yet.

--- a/daemon/runner_guard.cc
+++ b/daemon/runner_guard.cc
@@ -55,6 +55,9 @@
 constexpr absl::Duration kCrashRetention = absl::Minutes(1);
 constexpr size_t kMaxCrashes = 16;
 
+// The runner lists at most this many ends at a time.
+constexpr size_t kMaxListedEnds = 500;
+
 }  // namespace
 
 RunnerGuard::RunnerGuard(boost::asio::io_context* context,
@@ -180,6 +183,7 @@
 void RunnerGuard::OnReport(RunnerReport&& report) {
   const absl::Time now = BootClock().Now();
   this->RecordClock(report.order, now);
+  this->LogUnansweredStarts(now);
   if (report.order.result == OrderResult::kFenced) {
     this->RaiseFence();
     this->RenewLeaseAfter(absl::ZeroDuration());
@@ -226,6 +230,8 @@
     }
     this->ended.push_back(std::move(end));
   }
+  if (!first_report && report.ended.size() < kMaxListedEnds)
+    this->LogVanishedRuns(before);
   if (!first_report)
     this->StopUnexpectedRuns(before);
   if (!new_ends.empty())
--- a/daemon/runner_guard.h
+++ b/daemon/runner_guard.h
@@ -159,6 +159,9 @@
     absl::Time accepted_at = absl::InfiniteFuture();
     // The runner has confirmed the start, at `accepted_at`.
     bool confirmed = false;
+    uint32_t attempts = 0;
+    // A line has told that the start has no answer.
+    bool unanswered_logged = false;
   };
   struct RunDescription {
     // When the runner confirmed the start; unknown for a run that an earlier
@@ -178,6 +181,11 @@
   void UpdateRuns(RunnerReport&& report, bool first_report);
   // Stops runs that were neither listed before nor have a pending start.
   void StopUnexpectedRuns(const std::map<TaskRef, RunningFigure>& before);
+  // Writes a line for each run of the previous report that the runner no longer
+  // lists, and whose end it does not list either.
+  void LogVanishedRuns(const std::map<TaskRef, RunningFigure>& before);
+  // Writes a line for each start that has had no answer for long.
+  void LogUnansweredStarts(absl::Time now);
   // Removes the pending starts whose outcome the last report shows.
   void ResolveStarts();
   // Called when a call had no answer: declares the runner lost once every lease
--- a/daemon/runner_guard_starts.cc
+++ b/daemon/runner_guard_starts.cc
@@ -84,7 +84,8 @@
 }
 
 void RunnerGuard::SendStart(const TaskRef& task) {
-  const PendingStart& pending = this->starting.at(task);
+  PendingStart& pending = this->starting.at(task);
+  ++pending.attempts;
   const auto lease_expiry_ms = this->NextLeaseExpiryMs(BootClock().Now());
   if (!lease_expiry_ms) {
     this->AbandonStart(task, StartOutcome::kRefused);
--- a/daemon/testing/fleet_log_test.cc
+++ b/daemon/testing/fleet_log_test.cc
@@ -174,6 +174,25 @@
                                  {"vms_no_capacity", 1}}));
 }
 
+// Guards against a start that a runner never answers while no line tells so.
+TEST_F(FleetLogTest, AStartWithoutAnAnswerIsLogged) {
+  auto runner = std::move(
+      RunnerStandin::Start(&this->ledger, absl::Milliseconds(50)).value());
+  const Settings entry_settings = this->EntrySettings("entry-1");
+  const Settings agent_settings = this->AgentSettings("agent-1", *runner);
+  auto entry = FleetEntry::Start(entry_settings, &this->log);
+  auto agent = FleetAgent::Start(agent_settings, this->file.get());
+  ASSERT_EQ(this->SendHeartbeat(agent_settings, *runner), 200);
+  ASSERT_TRUE(this->WaitUntilReady(entry_settings));
+  runner->KeepNextCalls("/v1/run-start", 1000000);
+  ASSERT_TRUE(this->Submit(entry_settings, kSubmissionId, kOneTask));
+  EXPECT_TRUE(this->WaitForLine({{"event", "start_unanswered"},
+                                 {"submission", kSubmissionId},
+                                 {"index", 0},
+                                 {"run", 1},
+                                 {"born_ms", runner->BornMs()}}));
+}
+
 // Guards against work that stalls on a lost process while no log line names the
 // process.
 TEST_F(FleetLogTest, EachLostProcessIsLogged) {
