--- a/daemon/runner_guard.cc
+++ b/daemon/runner_guard.cc
@@ -46,6 +46,9 @@
 // when the clock is set back.
 constexpr int64_t kFenceStepMs = 60000;
 
+// The runner lists at most this many ends at a time.
+constexpr size_t kMaxListedEnds = 500;
+
 }  // namespace
 
 RunnerGuard::RunnerGuard(boost::asio::io_context* context,
@@ -175,6 +178,7 @@
 void RunnerGuard::OnReport(RunnerReport&& report) {
   const absl::Time now = BootClock().Now();
   this->RecordClock(report.order, now);
+  this->LogUnansweredStarts(now);
   if (report.order.result == OrderResult::kFenced) {
     this->RenewLeaseAfter(absl::ZeroDuration());
     return;
@@ -229,6 +233,8 @@
     }
     this->ended.push_back(std::move(end));
   }
+  if (!first_report && report.ended.size() < kMaxListedEnds)
+    this->LogVanishedRuns(before);
   if (!first_report)
     this->StopUnexpectedRuns(before);
   if (!new_ends.empty())
--- a/daemon/runner_guard_starts.cc
+++ b/daemon/runner_guard_starts.cc
@@ -89,10 +89,11 @@
 }
 
 void RunnerGuard::SendStart(const TaskRef& task) {
-  const PendingStart& pending = this->starting.at(task);
+  PendingStart& pending = this->starting.at(task);
   // The stop that is under way resolves the start.
   if (pending.abandon_outcome)
     return;
+  ++pending.attempts;
   const auto lease_expiry_ms = this->NextLeaseExpiryMs(BootClock().Now());
   if (!lease_expiry_ms) {
     this->AbandonStart(task, StartOutcome::kRefused);
