Count crashes of runners under starts without a reply

Cause: a start that got no reply and was carried out seconds later was judged by the time since its order, so that it counted as a bystander, and ShouldGiveUp() skipped it in any case.

Now an unconfirmed start is a suspect at any age. It completes two confirmed crashes to three. One crash under one of several pending starts does not isolate a task, since there are dozens of them. Only crashes that speak no more strongly against another task are taken off its records when a culprit is given up: before, the end of a task that was only pending there removed the evidence against the one that had just started. A run that lived for 3 s clears the suspicion against its task, so that a task that lasts does not collect it for good.

--- a/submission/crash.h
+++ b/submission/crash.h
@@ -30,7 +30,8 @@
   // The runner had confirmed the start.
   bool confirmed = false;
   // Time from the start to the crash, in milliseconds; negative if the start is
-  // not known.
+  // not known. For a run that is not confirmed the time from the order, which
+  // the runner may have carried out at any time up to the crash.
   int64_t age_ms = -1;
 
   bool operator==(const LostRun&) const = default;
@@ -58,9 +59,9 @@
 enum class CrashEvidence : uint8_t {
   // The run was older than others, or old when nothing had just started.
   kBystander,
-  // One of several runs that had just started.
+  // One of several runs that had, or may have, just started.
   kSuspect,
-  // The only run that had just started.
+  // The only run that had just started, or the only one that may have.
   kOnlySuspect,
 };
 
@@ -93,11 +94,20 @@
 // Returns the evidence against each of the runs, in their order.
 std::vector<CrashEvidence> JudgeCrash(const std::vector<LostRun>& runs);
 
-// True if a task with these records is started apart from others.
+// True if the age of the run rules out that its start crashes runners.
+bool OutlivedItsStart(const LostRun& lost);
+
+// How strongly the crash speaks against the task; 0 for a bystander.
+int EvidenceWeight(const CrashRecord& record);
+
+// True if a task with these records is started apart from others. One crash
+// under one of several unconfirmed starts is too weak for that: there may be
+// dozens of them.
 bool IsSuspect(const std::vector<CrashRecord>& records);
 
 // True if a task with these records must not be started again. Two crashes with
-// a confirmed start are needed at least, and four suffice.
+// a confirmed start are needed at least. They suffice if the task was the only
+// suspect of one, or if a third crash speaks against it, confirmed or not.
 bool ShouldGiveUp(const std::vector<CrashRecord>& records);
 
 }  // namespace cuminjunction
--- a/submission/scheduler.h
+++ b/submission/scheduler.h
@@ -302,7 +302,8 @@
                    const RunnerCrash& crash,
                    absl::Time now);
   void GiveUpCulprits(const std::vector<TaskRef>& affected);
-  // Removes these crashes from the records of all tasks.
+  // Removes these crashes, which a culprit has caused, from the records of all
+  // tasks against which they do not speak more strongly.
   void ExplainCrashes(const std::vector<CrashRecord>& crashes);
   using WorkerCost = std::function<std::optional<double>(Worker* worker)>;
   // Returns a VM for a task that may crash its runner: without recent starts,
--- a/submission/scheduler_crashes.cc
+++ b/submission/scheduler_crashes.cc
@@ -2,6 +2,7 @@
 // that are given up, and where suspects are started again.
 
 #include <algorithm>
+#include <map>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -60,6 +61,11 @@
     if (slot == nullptr || slot->phase == TaskPhase::kDone ||
         IsRecorded(*slot, vm, crash.born_ms))
       continue;
+    if (OutlivedItsStart(lost) &&
+        std::erase_if(slot->crashes, [](const CrashRecord& record) {
+          return record.evidence != CrashEvidence::kBystander;
+        }) > 0)
+      this->dirty.insert(lost.task.submission);
     // A task that lasts is bound to see crashes that are not its own.
     if (active->submission.steps[lost.task.step].long_running &&
         evidence[i] == CrashEvidence::kBystander)
@@ -108,15 +114,18 @@
 }
 
 void Scheduler::ExplainCrashes(const std::vector<CrashRecord>& crashes) {
-  std::set<std::pair<std::string, int64_t>> explained;
+  // The evidence against the culprit, by crash.
+  std::map<std::pair<std::string, int64_t>, int> explained;
   for (const CrashRecord& record : crashes)
-    explained.emplace(record.vm, record.born_ms);
+    explained[{record.vm, record.born_ms}] = EvidenceWeight(record);
   for (const auto& [id, active] : this->live) {
     for (OccurrenceSlots& occurrence : active->occurrences) {
       for (StepSlots& step : occurrence.steps) {
         for (TaskSlot& slot : step.tasks)
           std::erase_if(slot.crashes, [&](const CrashRecord& record) {
-            return explained.contains({record.vm, record.born_ms});
+            const auto found = explained.find({record.vm, record.born_ms});
+            return found != explained.end() &&
+                   EvidenceWeight(record) <= found->second;
           });
       }
     }
--- a/submission/testing/scheduler_crash_test.cc
+++ b/submission/testing/scheduler_crash_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <map>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -19,10 +20,11 @@
   // these starts, each at this age.
   void Crash(const std::string& vm,
              const std::vector<StartOrder>& lost,
-             int64_t age_ms = 10) {
+             int64_t age_ms = 10,
+             bool confirmed = true) {
     RunnerCrash crash{this->born_ms[vm] + 1, {}};
     for (const StartOrder& start : lost)
-      crash.runs.push_back({start.task, start.run, true, age_ms});
+      crash.runs.push_back({start.task, start.run, confirmed, age_ms});
     this->Report(vm, crash);
   }
 
@@ -131,11 +133,77 @@
   EXPECT_TRUE(this->scheduler.TakeGivenUp().empty());
 }
 
+// Guards against a task that is started again after three crashes because one
+// of them came before a reply to its start.
+TEST_F(SchedulerCrashTest, ACrashUnderAnUnconfirmedStartCounts) {
+  this->scheduler.MergeReport(MakeReport("vm-1"), this->now);
+  this->Add(MakeSubmission(kId, {MakeStep(1, 500)}));
+  this->Add(MakeSubmission("00000000000000b2", {MakeStep(1, 500)}));
+  const auto crash = [&](int64_t age_ms, bool confirmed) {
+    std::vector<StartOrder> lost;
+    while (lost.size() < 2) {
+      this->now += absl::Seconds(1);
+      const Orders orders = this->Plan();
+      lost.insert(lost.end(), orders.starts.begin(), orders.starts.end());
+    }
+    this->Crash("vm-1", lost, age_ms, confirmed);
+  };
+  crash(10, true);
+  crash(2500, false);
+  EXPECT_TRUE(this->scheduler.TakeGivenUp().empty());
+  crash(10, true);
+  EXPECT_EQ(this->scheduler.TakeGivenUp().size(), 1u);
+}
+
+// Guards against a task that lasts being given up because its starts were
+// pending in crashes that are far apart.
+TEST_F(SchedulerCrashTest, ARunThatLivedClearsItsTask) {
+  Step step = MakeStep(1, 500);
+  step.long_running = true;
+  this->scheduler.MergeReport(MakeReport("vm-1"), this->now);
+  this->Add(MakeSubmission(kId, {step}));
+  for (int i = 0; i < 20; ++i) {
+    this->now += absl::Seconds(30);
+    const Orders orders = this->Plan();
+    ASSERT_EQ(orders.starts.size(), 1u);
+    if (i % 2 == 0)
+      this->Crash("vm-1", orders.starts, 2500, false);
+    else
+      this->Crash("vm-1", orders.starts, 30000);
+  }
+  EXPECT_TRUE(this->scheduler.TakeGivenUp().empty());
+}
+
+// Guards against a crash that is taken off the records of the task that had
+// just started when the task given up for it was only pending there.
+TEST_F(SchedulerCrashTest, AWeakerSuspectDoesNotExplainACrash) {
+  const std::string culprit = "00000000000000b2";
+  this->scheduler.MergeReport(MakeReport("vm-1"), this->now);
+  this->Add(MakeSubmission(kId, {MakeStep(1, 500)}));
+  this->Add(MakeSubmission(culprit, {MakeStep(1, 500)}));
+  const Orders first = this->Plan();
+  ASSERT_EQ(first.starts.size(), 2u);
+  const TaskRef weaker{kId, 0, 0, 0};
+  const TaskRef stronger{culprit, 0, 0, 0};
+  this->Report("vm-1",
+               {1, {{weaker, 1, false, 2500}, {stronger, 1, true, 10}}});
+  this->Report("vm-1", {2, {{weaker, 2, true, 10}}});
+  this->Report("vm-1", {3, {{weaker, 3, true, 10}}});
+  ASSERT_EQ(this->scheduler.TakeGivenUp().size(), 1u);
+  this->Report("vm-1", {4, {{stronger, 2, true, 10}}});
+  const std::vector<GivenUpTask> given_up = this->scheduler.TakeGivenUp();
+  ASSERT_EQ(given_up.size(), 1u);
+  EXPECT_EQ(given_up[0].crashes.size(), 2u);
+}
+
 // A fleet whose runners crash 10 ms after the start of certain tasks and return
-// after 3 s, in steps of 10 ms of a simulated clock.
+// after 3 s, in steps of 10 ms of a simulated clock. This share of the orders
+// gets no answer, is sent again after 0.9 s, and is carried out after 2 to 12
+// s.
 class CrashingFleet {
  public:
-  explicit CrashingFleet(int vms) {
+  explicit CrashingFleet(int vms, double late_share = 0)
+      : late_share(late_share) {
     this->scheduler.SetPolicy(MakePolicy());
     for (int i = 0; i < vms; ++i) {
       Vm& vm = this->vms[StrCat("vm-", i)];
@@ -162,8 +230,10 @@
         this->scheduler.OnStartResult(vm.name, start.task, start.run,
                                       StartOutcome::kRefused, this->now);
       else
-        vm.runs[start.task] = {start.run, this->now};
+        vm.pending[start.task] = {start.run, this->now, this->now, {}};
     }
+    for (auto& [name, vm] : this->vms)
+      this->SendPending(&vm);
     for (const GivenUpTask& task : this->scheduler.TakeGivenUp())
       this->given_up.insert(task.task.submission);
     this->scheduler.TakeDirty();
@@ -178,6 +248,15 @@
   struct Run {
     uint32_t run = 0;
     absl::Time started_at;
+    bool confirmed = true;
+    absl::Time ordered_at = absl::InfinitePast();
+  };
+  struct Pending {
+    uint32_t run = 0;
+    absl::Time ordered_at;
+    absl::Time next_attempt;
+    // When the runner carries out the orders that got no answer.
+    std::vector<absl::Time> late;
   };
   struct Vm {
     std::string name;
@@ -185,6 +264,7 @@
     uint64_t next_end = 1;
     absl::Time back_at = absl::InfiniteFuture();
     std::map<TaskRef, Run> runs;
+    std::map<TaskRef, Pending> pending;
     std::vector<RunnerCrash> crashes;
   };
 
@@ -192,6 +272,67 @@
     return task.index == 0 && this->deadly.contains(task.submission);
   }
 
+  bool Chance(double share) {
+    return std::uniform_real_distribution<double>(0, 1)(this->random) < share;
+  }
+
+  // Sends the orders of the VM whose attempt is due, and carries out those that
+  // are late.
+  void SendPending(Vm* vm) {
+    if (vm->back_at != absl::InfiniteFuture())
+      return;
+    for (auto entry = vm->pending.begin(); entry != vm->pending.end();) {
+      if (this->Attempt(vm, entry->first, &entry->second))
+        entry = vm->pending.erase(entry);
+      else
+        ++entry;
+    }
+  }
+
+  // Returns true if the runner has carried out the order.
+  bool Attempt(Vm* vm, const TaskRef& task, Pending* pending) {
+    for (const absl::Time at : pending->late) {
+      if (at > this->now)
+        continue;
+      vm->runs[task] = {pending->run, this->now, false, pending->ordered_at};
+      return true;
+    }
+    if (this->now < pending->next_attempt)
+      return false;
+    if (!this->Chance(this->late_share)) {
+      vm->runs[task] = {pending->run, this->now};
+      return true;
+    }
+    pending->next_attempt += absl::Milliseconds(900);
+    pending->late.push_back(
+        this->now + absl::Seconds(std::uniform_real_distribution<double>(
+                        2, 12)(this->random)));
+    return false;
+  }
+
+  // Ends all runs of the VM. The age of a run without a confirmed start is the
+  // time since its order.
+  void Crash(Vm* vm) {
+    RunnerCrash& crash = vm->crashes.emplace_back(RunnerCrash{vm->born_ms, {}});
+    const auto age_ms = [&](absl::Time since) {
+      return absl::ToInt64Milliseconds(this->now - since);
+    };
+    for (const auto& [task, run] : vm->runs) {
+      // A report lists a run half a second after its start at the latest.
+      const bool confirmed =
+          run.confirmed || this->now - run.started_at > absl::Milliseconds(500);
+      crash.runs.push_back(
+          {task, run.run, confirmed,
+           age_ms(confirmed ? run.started_at : run.ordered_at)});
+    }
+    for (const auto& [task, pending] : vm->pending)
+      crash.runs.push_back(
+          {task, pending.run, false, age_ms(pending.ordered_at)});
+    vm->runs.clear();
+    vm->pending.clear();
+    vm->back_at = this->now + absl::Seconds(3);
+  }
+
   void Advance(Vm* vm) {
     if (vm->back_at <= this->now) {
       vm->back_at = absl::InfiniteFuture();
@@ -204,14 +345,7 @@
       if (!this->IsDeadly(task))
         continue;
       ++this->crashes[task];
-      RunnerCrash& crash =
-          vm->crashes.emplace_back(RunnerCrash{vm->born_ms, {}});
-      for (const auto& [lost, lost_run] : vm->runs)
-        crash.runs.push_back(
-            {lost, lost_run.run, true,
-             absl::ToInt64Milliseconds(this->now - lost_run.started_at)});
-      vm->runs.clear();
-      vm->back_at = this->now + absl::Seconds(3);
+      this->Crash(vm);
       return;
     }
     std::vector<TaskRef> done;
@@ -228,6 +362,8 @@
     }
   }
 
+  double late_share;
+  std::mt19937 random{1};
   absl::Time now = absl::FromUnixSeconds(1000);
   std::map<std::string, Vm> vms;
 };
@@ -255,5 +391,22 @@
   EXPECT_EQ(states.size(), sound.size() + fleet.deadly.size());
 }
 
+// Guards against crashes that do not count because they came before a reply to
+// the start: the task then crashes runner after runner.
+TEST(CrashingFleetTest, TasksWhoseStartsAreCarriedOutLateAreGivenUp) {
+  CrashingFleet fleet(11, 0.6);
+  for (int i = 0; i < 150; ++i) {
+    fleet.Submit(StrCat("00000000000", 10000 + i), i % 10 == 5);
+    for (int step = 0; step < 14; ++step)
+      fleet.Step();
+  }
+  for (int step = 0; step < 6000; ++step)
+    fleet.Step();
+  EXPECT_EQ(fleet.given_up, fleet.deadly);
+  for (const auto& [task, crashes] : fleet.crashes)
+    EXPECT_LE(crashes, 3) << task.submission;
+  EXPECT_EQ(fleet.scheduler.LiveCount(), 0u);
+}
+
 }  // namespace
 }  // namespace cuminjunction
