Give the share of runners that keep their ids as an option of the soak

Late calls that name the id pass as those for the new incarnation until a call with a higher fence arrives. The agent can shorten that time but not end it: the stand-in carries out calls that came due while it was down as it comes back.

--- a/testing/soak/fleet.cc
+++ b/testing/soak/fleet.cc
@@ -60,8 +60,8 @@
       [&](const Span& span) { return span.from <= to && from <= span.to; });
 }
 
-Fleet::Fleet(Record* record, uint64_t seed)
-    : record(record), random(seed + 3), links("links") {}
+Fleet::Fleet(Record* record, uint64_t seed, double kept_ids)
+    : record(record), random(seed + 3), kept_ids(kept_ids), links("links") {}
 
 bool Fleet::Start(int entry_count, int agent_count) {
   std::string pattern =
@@ -96,7 +96,8 @@
     if (!runner)
       return false;
     node->runner = std::move(runner.value());
-    if (this->random() % 3 == 0)
+    if (std::uniform_real_distribution<double>(0, 1)(this->random) <
+        this->kept_ids)
       node->runner->KeepId();
     auto runner_link = FaultProxy::Start(&this->links, node->runner->Address());
     if (!runner_link)
--- a/testing/soak/fleet.h
+++ b/testing/soak/fleet.h
@@ -5,7 +5,7 @@
 // faults are injected into.
 //
 //   Record record;
-//   Fleet fleet(&record, seed);
+//   Fleet fleet(&record, seed, 0);
 //   if (!fleet.Start(3, 6))
 //     return false;
 //   ...
@@ -64,8 +64,8 @@
 class Fleet {
  public:
   // `record` must outlive the fleet. The seed draws the runners that keep their
-  // ids across crashes.
-  Fleet(Record* record, uint64_t seed);
+  // ids across crashes, of which there is this share.
+  Fleet(Record* record, uint64_t seed, double kept_ids);
 
   // Starts the stand-ins and the processes. False when a stand-in can't be
   // started.
@@ -97,6 +97,7 @@
 
   Record* record;
   std::mt19937_64 random;
+  double kept_ids;
   std::string folder;
   EventThread links;
   std::unique_ptr<StoreStandin> store;
--- a/testing/soak_main.cc
+++ b/testing/soak_main.cc
@@ -51,6 +51,7 @@
   double seconds = 20;
   int entries = 3;
   int agents = 6;
+  double kept_ids = 0;
 };
 
 class Soak {
@@ -58,7 +59,7 @@
   explicit Soak(const Options& options)
       : options(options),
         random(options.seed),
-        fleet(&this->record, options.seed),
+        fleet(&this->record, options.seed, options.kept_ids),
         clients(&this->fleet, &this->record, options.seed),
         faults(&this->fleet, &this->record, &this->random, options.seed) {}
 
@@ -199,7 +200,9 @@
                                            "of the schedule of faults")(
       "seconds", po::value(&options.seconds), "how long faults are injected")(
       "entries", po::value(&options.entries), "number of entries")(
-      "agents", po::value(&options.agents), "number of agents");
+      "agents", po::value(&options.agents), "number of agents")(
+      "kept-ids", po::value(&options.kept_ids),
+      "share of runners that keep their ids across crashes");
   po::variables_map values;
   try {
     po::store(po::parse_command_line(argc, argv, flags), values);
