Do not call the runner without a pause before its id is known

After a restart of the agent, ends that the planner has stored can't be confirmed until a heartbeat tells the id, and the runner lists them at once in each answer: the agent called it without a pause. It now waits 120 ms, as for ends that are not stored yet.

In the same calls: a refusal by another incarnation no longer discards the id that its heartbeat has told meanwhile; no call under a fence that is raised for a new incarnation names the one before; and a start is not sent again once a heartbeat has told of the next incarnation.

The other three were found by reading; no test shows them.

--- a/daemon/runner_guard.cc
+++ b/daemon/runner_guard.cc
@@ -144,7 +144,10 @@
   this->renewing = true;
   const absl::Time now = BootClock().Now();
   this->renewal_sent_at = now;
-  const OrderAddress address = this->Address();
+  OrderAddress address = this->Address();
+  // A new incarnation may have the id of the one before.
+  if (this->changing_incarnation)
+    address.incarnation.clear();
   RunnerHold renewal;
   // After a failed call the runner may be another incarnation, whose ends have
   // the same numbers: confirming them unseen would lose them.
@@ -171,6 +174,11 @@
           this->lease_expiry = previous_expiry;
         if (report.order.result == OrderResult::kFenced)
           this->RaiseFenceAbove(address.fence);
+        // The next call is for any incarnation, and tells which one is up,
+        // unless a heartbeat has told already.
+        if (report.order.result == OrderResult::kOtherIncarnation &&
+            this->heard_id == address.incarnation)
+          this->heard_born_ms = 0;
         this->OnReport(std::move(report));
       });
 }
@@ -184,9 +192,6 @@
     return;
   }
   if (report.order.result != OrderResult::kDone) {
-    // The next call is for any incarnation, and tells which one is up.
-    if (report.order.result == OrderResult::kOtherIncarnation)
-      this->heard_born_ms = 0;
     if (!this->silent_since)
       this->silent_since = now;
     this->CheckLeaseExpiry(now);
@@ -201,6 +206,7 @@
   }
   if (report.order.born_ms != this->born_ms)
     this->OnNewIncarnation(report, now);
+  this->changing_incarnation = false;
   this->silent_since.reset();
   this->expired_runs.clear();
   const bool first_report = !this->runs_known || !this->alive;
@@ -211,8 +217,11 @@
     this->handlers.on_changed();
   this->StopRunsWithoutGrant(now);
   this->PaceFillingTasks(now);
-  this->RenewLeaseAfter(this->ended.empty() ? absl::ZeroDuration()
-                                            : kUnconfirmedDelay);
+  // Without the id, ends can't be confirmed, and are listed in each answer.
+  const bool may_list_ends =
+      !this->ended.empty() || this->IncarnationId().empty();
+  this->RenewLeaseAfter(may_list_ends ? kUnconfirmedDelay
+                                      : absl::ZeroDuration());
 }
 
 void RunnerGuard::UpdateRuns(RunnerReport&& report, bool first_report) {
--- a/daemon/runner_guard_starts.cc
+++ b/daemon/runner_guard_starts.cc
@@ -123,8 +123,9 @@
     const auto found = this->starting.find(task);
     if (found == this->starting.end() || found->second.order.run != run)
       return;
-    // The first list of the next incarnation tells whether the run is there.
-    if (!this->alive)
+    // The first list of the next incarnation tells whether the run is there. A
+    // heartbeat may have told of it before the list.
+    if (!this->alive || this->IncarnationId().empty())
       this->RetryStart(task, run);
     else if (this->IsDraining())
       this->AbandonStart(task, StartOutcome::kRefused);
--- a/daemon/testing/runner_guard_test.cc
+++ b/daemon/testing/runner_guard_test.cc
@@ -206,5 +206,27 @@
   EXPECT_TRUE(this->guard->Crashes().empty());
 }
 
+// Guards against an agent that calls its runner without a pause: ends that are
+// stored, but can't be confirmed before a heartbeat tells the incarnation's id,
+// are listed in each answer.
+TEST_F(RunnerGuardTest, EndsThatCannotBeConfirmedAreNotReadWithoutAPause) {
+  ASSERT_TRUE(this->WaitUntil([this] { return this->guard->IsRunnerAlive(); }));
+  RunOrder order;
+  order.task = {"5c0e7a21d94b36f8", 0, 0, 0};
+  order.run = 1;
+  this->thread.Call(
+      [&] { this->guard->Start(this->guard->BornMs(), order, "text"); });
+  ASSERT_TRUE(this->WaitUntil([this] { return !this->ends.empty(); }));
+  int holds = 0;
+  this->thread.Call([&] {
+    this->guard->SetIncarnationId("", 0);
+    this->guard->ConfirmEnds(this->guard->BornMs(), this->ends.front().number);
+    holds = this->standin->Holds();
+  });
+  absl::SleepFor(absl::Milliseconds(600));
+  // One each 120 ms, and the call that was under way.
+  EXPECT_LE(this->standin->Holds() - holds, 6);
+}
+
 }  // namespace
 }  // namespace cuminjunction
--- a/testing/support/runner_standin.cc
+++ b/testing/support/runner_standin.cc
@@ -193,6 +193,7 @@
     return this->Begin(body["task"], body["run"]);
   if (request.path == "/v1/run-stop")
     return this->Stop(body["task"], body["run"]);
+  ++this->holds;
   *wait_ms = body.value("waitMs", int64_t{0});
   *last_seen = body.value("lastSeen", int64_t{0});
   return Answer(200, json::object());
@@ -277,6 +278,11 @@
       [&](const LateCall& call) { return call.request.path == path; }));
 }
 
+int RunnerStandin::Holds() const {
+  absl::MutexLock lock(&this->mutex);
+  return this->holds;
+}
+
 int RunnerStandin::Stops() const {
   absl::MutexLock lock(&this->mutex);
   return this->stops;
--- a/testing/support/runner_standin.h
+++ b/testing/support/runner_standin.h
@@ -139,6 +139,9 @@
   // Number of orders to stop a run that were carried out.
   int Stops() const;
 
+  // Number of calls that read the lists.
+  int Holds() const;
+
   // Answers the next calls that read the lists with the clock alone.
   void CutShortNextHolds(int count);
 
@@ -206,6 +209,7 @@
   absl::Time back_at = absl::InfiniteFuture();
   int crashes = 0;
   int stops = 0;
+  int holds = 0;
   int64_t next_end = 1;
   std::map<std::string, Run> running;
   std::map<std::string, int64_t> highest;
