Count the ages of lost runs from the last confirmed start

Sound tasks could be given up: while the answers of renewals are lost, the agent took the first lost answer for the time of a crash, so that every start that was confirmed since had age 0 and was a suspect. The runner was up when it confirmed the last start, so that ages count from then at the earliest.

--- a/daemon/runner_guard.h
+++ b/daemon/runner_guard.h
@@ -219,9 +219,9 @@
   // Keeps the runs that ended with the present incarnation as a crash, unless
   // it had announced its end.
   void RecordEndOfIncarnation(int64_t new_born_ms, absl::Time now);
-  // Returns the runs and pending starts on the runner, which was lost at this
-  // time, and writes a line for each.
-  std::vector<LostRun> CollectLostRuns(absl::Time lost_at);
+  // Returns the runs and pending starts on the runner, whose lists had no
+  // answer from this time on, and writes a line for each.
+  std::vector<LostRun> CollectLostRuns(absl::Time silent_at);
   void ClearRuns();
   void RecordClock(const OrderReply& reply, absl::Time now);
   // Returns the expiry, on the runner's clock, of the longest lease that the
--- a/daemon/runner_guard_incarnations.cc
+++ b/daemon/runner_guard_incarnations.cc
@@ -98,7 +98,12 @@
     this->crashes.pop_front();
 }
 
-std::vector<LostRun> RunnerGuard::CollectLostRuns(absl::Time lost_at) {
+std::vector<LostRun> RunnerGuard::CollectLostRuns(absl::Time silent_at) {
+  // The runner was up when it confirmed the last start, although renewals may
+  // have had no answer before.
+  absl::Time lost_at = silent_at;
+  for (const auto& [task, description] : this->descriptions)
+    lost_at = std::max(lost_at, description.started_at.value_or(silent_at));
   std::vector<LostRun> lost;
   const auto age_ms = [&](absl::Time started_at) {
     return std::max<int64_t>(0,
--- a/daemon/testing/runner_guard_test.cc
+++ b/daemon/testing/runner_guard_test.cc
@@ -228,5 +228,38 @@
   EXPECT_LE(this->standin->Holds() - holds, 6);
 }
 
+// Guards against tasks that are taken for the cause of a crash: while renewals
+// of the lease had no answer, all starts counted as made at the crash.
+TEST_F(RunnerGuardTest, TheAgesOfLostRunsCountFromTheLastStart) {
+  ASSERT_TRUE(this->WaitUntil([this] { return this->guard->IsRunnerAlive(); }));
+  this->standin->LoseHoldReplies(1000);
+  // A renewal whose answer is lost.
+  absl::SleepFor(absl::Milliseconds(1200));
+  for (uint32_t index = 0; index < 2; ++index) {
+    RunOrder order;
+    order.task = {"5c0e7a21d94b36f8", 0, 0, index};
+    order.run = 1;
+    this->thread.Call(
+        [&] { this->guard->Start(this->guard->BornMs(), order, "text"); });
+    ASSERT_TRUE(this->WaitUntil(
+        [&] { return this->started == static_cast<int>(index) + 1; }));
+    if (index == 0)
+      absl::SleepFor(absl::Milliseconds(400));
+  }
+  this->standin->Crash();
+  this->standin->Settle();
+  this->standin->LoseHoldReplies(0);
+  ASSERT_TRUE(this->WaitUntil([this] {
+    this->standin->Settle();
+    return !this->guard->Crashes().empty();
+  }));
+  const RunnerCrash crash =
+      this->thread.Call([this] { return this->guard->Crashes().front(); });
+  ASSERT_EQ(crash.runs.size(), 2u);
+  EXPECT_TRUE(crash.runs[0].confirmed);
+  EXPECT_GE(crash.runs[0].age_ms, 400);
+  EXPECT_LT(crash.runs[1].age_ms, 400);
+}
+
 }  // namespace
 }  // namespace cuminjunction
