--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -19,9 +19,9 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 
-# Figures of the site vardu-klasteris.
-BOUNDS = {"contactMs": 4000, "ackMs": 5000, "graceS": 6, "maxHoldMs": 6000, "stopMs": 900, "cancel_ms": 3000,
-          "visible_ms": 3000, "finish_s": 14, "status_s": 120, "recoveryS": 12, "saveS": 0.5, "restoreMs": 250}
+# Figures of the site vardu-klasteris-grown.
+BOUNDS = {"contactMs": 4000, "ackMs": 6000, "graceS": 6, "maxHoldMs": 10000, "stopMs": 200, "cancel_ms": 4000,
+          "visible_ms": 3000, "finish_s": 14, "status_s": 120, "recoveryS": 15, "saveS": 2.0, "restoreMs": 250}
 PLATFORM = {"rowBytes": 65536, "txMs": 3.0, "maxEntries": 100, "maxBytes": 1_000_000}
 
 
