--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -513,9 +513,9 @@
 class Fleet:
     def __init__(self, record_path, entries=3, agents=3, cores=64, routes=None, plan=None):
         self.record = Record(record_path)
-        self.folder = tempfile.mkdtemp(prefix="cuminjunction-review-")
         with open(os.path.join(ROOT, "deploy/system.toml"), "rb") as file:
             self.deploy = tomllib.load(file)
+        self.folder = tempfile.mkdtemp(prefix="cuminjunction-review-")
         net = pick_network()
         zones = ["riga-a", "liepaja-a", "riga-b"]
         self.store = Store((net + ".1", 8169), self.record)
