Read a runner's list of ends as a part when it may be cut

Cause: a runner lists 500 ends at a time. The agent took the list for a whole one, and the planner started each task again whose run was in neither list of its report. Ruled out: the takeover and the lease, since no planner changed.

Change: a report says whether more ends may follow. Until one without more arrives, the planner releases no run of the worker, still waits for it after a takeover and does not mark it vacant; the agent leaves starts pending that a part does not show. The agent sends a full report once all ends are listed.

Cost: one byte in each full report, and one more full report of an agent after it had more than 500 ends. No more calls to the store or the runner.

--- a/daemon/fleet_agent.cc
+++ b/daemon/fleet_agent.cc
@@ -285,6 +285,7 @@
   notice.info.born_ms = this->guard->BornMs();
   notice.running = this->guard->Running();
   notice.ended = this->guard->Ended();
+  notice.more_ends = this->guard->HasMoreEnds();
   notice.crashes = this->guard->Crashes();
   this->port->Send(notice);
 }
--- a/daemon/fleet_message.h
+++ b/daemon/fleet_message.h
@@ -208,8 +208,9 @@
   }
 };
 
-// Agent to planner: all runs on its runner. Sent when a connection is opened
-// and when the runner's incarnation has changed.
+// Agent to planner: all runs on its runner. Sent when a connection is opened,
+// when the runner's incarnation has changed, and once all ends are listed after
+// a part of them.
 struct WorkerNotice {
   // StartRuns::number of the last StartRuns that arrived on the connection.
   // Runs of later ones are in transit and not in the lists.
@@ -219,6 +220,9 @@
   bool alive = false;
   std::vector<ActiveRun> running;
   std::vector<EndedRun> ended;
+  // The runner may have more ends: runs in neither list may have ended. A
+  // report without it follows.
+  bool more_ends = false;
   // The latest crashes of the runner, also those that were sent before: an
   // earlier planner may not have stored them.
   std::vector<RunnerCrash> crashes;
@@ -226,7 +230,7 @@
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->last_received_number, this->info, this->alive, this->running,
-            this->ended, this->crashes);
+            this->ended, this->more_ends, this->crashes);
   }
 };
 
--- a/daemon/fleet_planner_messages.cc
+++ b/daemon/fleet_planner_messages.cc
@@ -141,8 +141,13 @@
                                   WorkerNotice&& notice) {
   for (const EndedRun& end : notice.ended)
     this->ends_to_confirm[node] = {notice.info.born_ms, end.number};
-  WorkerReport report{node,           notice.info,  notice.alive,
-                      notice.running, notice.ended, notice.crashes};
+  WorkerReport report{.vm = node,
+                      .info = notice.info,
+                      .alive = notice.alive,
+                      .running = notice.running,
+                      .ended = notice.ended,
+                      .crashes = notice.crashes,
+                      .more_ends = notice.more_ends};
   for (const SentStart& run : this->sent_starts[node].runs) {
     if (run.number > notice.last_received_number)
       report.running.push_back({run.task, run.run, "", 0, true});
@@ -155,6 +160,7 @@
                        .Add("draining", notice.info.draining)
                        .Add("running", notice.running.size())
                        .Add("ended", notice.ended.size())
+                       .Add("more_ends", notice.more_ends)
                        .Add("crashes", notice.crashes.size()));
   const bool first_report = !this->scheduler->MayGrant(node);
   this->scheduler->MergeReport(report, BootClock().Now());
--- a/daemon/runner_guard.cc
+++ b/daemon/runner_guard.cc
@@ -46,9 +46,6 @@
 // when the clock is set back.
 constexpr int64_t kFenceStepMs = 60000;
 
-// The runner lists at most this many ends at a time.
-constexpr size_t kMaxListedEnds = 500;
-
 }  // namespace
 
 RunnerGuard::RunnerGuard(boost::asio::io_context* context,
@@ -212,8 +209,10 @@
   const bool first_report = !this->runs_known || !this->alive;
   this->runs_known = true;
   this->alive = true;
+  const bool had_more_ends = this->more_ends;
   this->UpdateRuns(std::move(report), first_report);
-  if (first_report)
+  // After a part of the ends, the planner waits for a report of all.
+  if (first_report || (had_more_ends && !this->more_ends))
     this->handlers.on_changed();
   this->StopRunsWithoutGrant(now);
   this->PaceFillingTasks(now);
@@ -231,6 +230,7 @@
     this->running[task] = std::move(figure);
   }
   std::vector<EndedRun> new_ends;
+  this->more_ends = report.more_ends;
   this->ended.clear();
   for (EndedRun& end : report.ended) {
     if (end.number <= this->last_confirmed_end)
@@ -242,7 +242,7 @@
     }
     this->ended.push_back(std::move(end));
   }
-  if (!first_report && report.ended.size() < kMaxListedEnds)
+  if (!first_report && !this->more_ends)
     this->LogVanishedRuns(before);
   if (!first_report)
     this->StopUnexpectedRuns(before);
--- a/daemon/runner_guard.h
+++ b/daemon/runner_guard.h
@@ -151,9 +151,13 @@
   // The runs that the runner lists, and those whose start is pending.
   std::vector<ActiveRun> Running() const;
 
-  // The ends that are not confirmed.
+  // The ends that are not confirmed, or the first of them.
   const std::vector<EndedRun>& Ended() const { return this->ended; }
 
+  // The runner may have ends that are not in Ended() yet. A run that is in
+  // neither list may be one of these.
+  bool HasMoreEnds() const { return this->more_ends; }
+
   // Ends all timers and callbacks. The runner keeps its present lease.
   void Close();
 
@@ -213,6 +217,7 @@
   void LogUnansweredStarts(absl::Time now);
   // Removes the pending starts whose outcome the last report shows, and stops
   // the runs of those that it does not list: a copy may still be carried out.
+  // While more ends may follow, starts that are not listed stay pending.
   void ResolveStarts();
   // Called when a call had no answer: declares the runner lost once every lease
   // has expired.
@@ -300,6 +305,8 @@
   uint64_t last_confirmed_end = 0;
   std::map<TaskRef, RunningFigure> running;
   std::vector<EndedRun> ended;
+  // RunnerReport::more_ends of the last report.
+  bool more_ends = false;
   std::map<TaskRef, PendingStart> starting;
   std::map<TaskRef, RunDescription> descriptions;
   InterferenceModel neighbours;
--- a/daemon/runner_guard_incarnations.cc
+++ b/daemon/runner_guard_incarnations.cc
@@ -48,7 +48,8 @@
 
 void RunnerGuard::OnNewIncarnation(const RunnerReport& report, absl::Time now) {
   // Orders that were sent before the fence was raised are refused from now on.
-  // Those that the new incarnation carried out before are in its lists.
+  // Those that the new incarnation carried out before are in its lists, unless
+  // more ends follow.
   std::set<std::pair<TaskRef, uint32_t>> listed;
   for (const RunningFigure& figure : report.running)
     listed.emplace(figure.running.task, figure.running.run);
@@ -64,6 +65,10 @@
   std::erase_if(this->running, [&](const auto& entry) {
     return listed.contains({entry.first, entry.second.running.run});
   });
+  // These are refused or listed later; see ResolveStarts().
+  std::map<TaskRef, PendingStart> undecided;
+  if (report.more_ends)
+    undecided.swap(this->starting);
   if (this->born_ms != 0)
     this->RecordEndOfIncarnation(report.order.born_ms, now);
   this->changing_incarnation = false;
@@ -75,6 +80,7 @@
   this->alive = false;
   this->ClearRuns();
   this->descriptions = std::move(continuing_descriptions);
+  this->starting = std::move(undecided);
 }
 
 void RunnerGuard::RecordEndOfIncarnation(int64_t new_born_ms, absl::Time now) {
@@ -146,6 +152,7 @@
 void RunnerGuard::ClearRuns() {
   this->running.clear();
   this->ended.clear();
+  this->more_ends = false;
   this->starting.clear();
   this->descriptions.clear();
 }
--- a/daemon/runner_guard_starts.cc
+++ b/daemon/runner_guard_starts.cc
@@ -55,8 +55,8 @@
       continue;
     }
     // A report that was requested before the start was confirmed may not list
-    // the run yet.
-    if (start.accepted_at >= this->renewal_sent_at) {
+    // the run yet, and the end of the run may follow in a later one.
+    if (start.accepted_at >= this->renewal_sent_at || this->more_ends) {
       ++entry;
       continue;
     }
--- a/submission/scheduler.h
+++ b/submission/scheduler.h
@@ -89,6 +89,9 @@
   std::vector<EndedRun> ended;
   // The latest crashes of the runner, also those reported before.
   std::vector<RunnerCrash> crashes = {};
+  // `ended` is a part of the ends: a run that is in neither list may have
+  // ended, so its task waits for a report of all.
+  bool more_ends = false;
 };
 
 // A task that was given up because runners crashed under it.
--- a/submission/scheduler_workers.cc
+++ b/submission/scheduler_workers.cc
@@ -93,8 +93,10 @@
       this->changes.push_back({task.submission, active->state});
     }
   }
-  this->DropRunsExcept(&worker, reported, now);
-  this->unresolved.erase(report.vm);
+  if (!report.more_ends) {
+    this->DropRunsExcept(&worker, reported, now);
+    this->unresolved.erase(report.vm);
+  }
   for (const RunnerCrash& crash : report.crashes)
     this->RecordCrash(report.vm, crash, now);
 }
@@ -144,6 +146,7 @@
   std::vector<std::string> idle;
   for (const auto& [vm, worker] : this->workers) {
     if (worker->synced && worker->placed.empty() &&
+        !this->unresolved.contains(vm) &&
         (worker->info.draining || !worker->usable) &&
         worker->inherited_grant_deadline < now)
       idle.push_back(vm);
--- a/submission/testing/scheduler_takeover_test.cc
+++ b/submission/testing/scheduler_takeover_test.cc
@@ -43,6 +43,42 @@
   EXPECT_EQ(this->Plan().starts.size(), 1u);
 }
 
+// Guards against tasks that run again after their end: a report with a part of
+// the runner's ends was taken for a whole one.
+TEST_F(SchedulerTakeoverTest, TasksThatAPartOfTheEndsDoesNotShowWait) {
+  this->scheduler.MergeReport(MakeReport("vm-1"), this->now);
+  this->scheduler.MergeReport(MakeReport("vm-2"), this->now);
+  this->Add(MakeSubmission(kId, {MakeStep(1, 500)}));
+  const Orders orders = this->Plan();
+  ASSERT_EQ(orders.starts.size(), 1u);
+  WorkerReport report = MakeReport(orders.starts[0].vm);
+  report.more_ends = true;
+  this->scheduler.MergeReport(report, this->now);
+  EXPECT_TRUE(this->scheduler.MayGrant(report.vm));
+  EXPECT_TRUE(this->Plan().starts.empty());
+  report.more_ends = false;
+  this->scheduler.MergeReport(report, this->now);
+  EXPECT_EQ(this->Plan().starts.size(), 1u);
+}
+
+// Guards against the same fault after a takeover, where the new planner has
+// placed none of the tasks, also on a worker that drains.
+TEST_F(SchedulerTakeoverTest, AWorkerWithMoreEndsIsWaitedForAfterATakeover) {
+  this->scheduler.ExpectWorker("vm-1", this->now - absl::Seconds(1));
+  this->scheduler.MergeReport(MakeReport("vm-2"), this->now);
+  this->Add(MakeSubmission(kId, {MakeStep(1, 500)}), UnresolvedRunsBefore(2));
+  WorkerReport report = MakeReport("vm-1");
+  report.info.draining = true;
+  report.more_ends = true;
+  this->scheduler.MergeReport(report, this->now);
+  EXPECT_TRUE(this->Plan().starts.empty());
+  EXPECT_TRUE(this->scheduler.IdleLeavingWorkers(this->now).empty());
+  report.more_ends = false;
+  this->scheduler.MergeReport(report, this->now);
+  EXPECT_EQ(this->Plan().starts.size(), 1u);
+  EXPECT_EQ(this->scheduler.IdleLeavingWorkers(this->now).size(), 1u);
+}
+
 // Guards against a mark that is written again in every tick, and against one
 // for a worker that never had a grant.
 TEST_F(SchedulerTakeoverTest, AnExpiredGrantIsReportedOnce) {
--- a/testing/support/runner_standin.cc
+++ b/testing/support/runner_standin.cc
@@ -348,6 +348,14 @@
   this->fail = count;
 }
 
+void RunnerStandin::FinishAll() {
+  absl::MutexLock lock(&this->mutex);
+  while (!this->running.empty()) {
+    const std::string task = this->running.begin()->first;
+    this->Finish(task, "done");
+  }
+}
+
 void RunnerStandin::Settle() {
   absl::MutexLock lock(&this->mutex);
   this->SettleLocked();
@@ -439,8 +447,11 @@
         for (const auto& [task, run] : this->running)
           running_rows.push_back({task, run.run, "", 50, 0});
         json ended_rows = json::array();
-        for (const End& end : this->ended)
+        for (const End& end : this->ended) {
+          if (ended_rows.size() == kMaxListedEnds)
+            break;
           ended_rows.push_back({end.number, end.task, end.run, end.how, ""});
+        }
         HttpResponse response = Answer(200, {{"clockMs", this->ClockMs()},
                                              {"born", this->born_ms},
                                              {"runningCount", running_rows},
--- a/testing/support/runner_standin.h
+++ b/testing/support/runner_standin.h
@@ -100,6 +100,13 @@
   // Ends the next runs as failed.
   void FailNext(int count);
 
+  // Ends all runs as done.
+  void FinishAll();
+
+  // The most ends in an answer: as in the protocol, the others follow once
+  // these are confirmed.
+  static constexpr size_t kMaxListedEnds = 500;
+
   // How long a runner that has crashed is away.
   static constexpr absl::Duration kTimeDown = absl::Milliseconds(400);
 
