Read pages and answers of the feed as parts of a table

Seen by callers: a task of a cancelled submission could run on, and a submission could wait for the next planner, when more than 500 rows had changed between two reads.

Cause: the planner continued the feed from the newest version of the store, whatever part of the changes the answer held. A page was taken for the last one if none of its rows could be read, and was read again for ever if the rows at its end could not be. A report was compared with the submissions of one answer.

Tests, failed before: CutListsTest.ACancellationBehindAPartOfTheChangesIsFound (the task still ran after 60 s). The stand-in of the store sorts and cuts its feed as the platform may.

Cost: the row at the end of a part is read twice.

--- a/daemon/fleet_planner.h
+++ b/daemon/fleet_planner.h
@@ -133,6 +133,15 @@
                 const std::string& from,
                 std::shared_ptr<RowsReply> pages,
                 std::function<void(RowsReply&&)> done);
+  // Reads all rows of a table that changed after this version, or the whole
+  // table for version 0. Fails with kHistoryGone like Store::Feed().
+  void ReadChanges(const std::string& table,
+                   int64_t version,
+                   std::function<void(RowsReply&&)> done);
+  void ReadFeedPart(const std::string& table,
+                    int64_t version,
+                    std::shared_ptr<RowsReply> parts,
+                    std::function<void(RowsReply&&)> done);
   void ApplyNodeRows(const std::vector<StoreRow>& rows);
   void FollowNodeFeed();
   // Reads submissions and cancellations whose notices were lost.
--- a/daemon/fleet_planner_load.cc
+++ b/daemon/fleet_planner_load.cc
@@ -63,7 +63,7 @@
   const std::string table = rows->remaining_tables.back();
   this->ReadTable(table, [this, table, rows](RowsReply&& reply) {
     if (!reply.error) {
-      this->feed_versions[table] = reply.version;
+      this->feed_versions[table] = reply.feed_version;
       rows->rows[table] = std::move(reply.rows);
       rows->remaining_tables.pop_back();
       this->LoadNext(rows);
@@ -96,21 +96,59 @@
         if (term != this->term)
           return;
         // The feed continues from the version of the first page, the oldest.
-        if (from.empty())
+        if (from.empty()) {
           pages->version = reply.version;
+          pages->feed_version = reply.feed_version;
+        }
         std::move(reply.rows.begin(), reply.rows.end(),
                   std::back_inserter(pages->rows));
         pages->error = reply.error;
-        if (!reply.error && reply.more && !pages->rows.empty()) {
-          // The smallest key after the last one read.
-          const std::string next = pages->rows.back().key + '\0';
-          this->ReadPage(table, next, pages, done);
+        if (!reply.error && reply.more) {
+          this->ReadPage(table, reply.next_key, pages, done);
           return;
         }
         done(std::move(*pages));
       });
 }
 
+void FleetPlanner::ReadChanges(const std::string& table,
+                               int64_t version,
+                               std::function<void(RowsReply&&)> done) {
+  if (version == 0)
+    this->ReadTable(table, std::move(done));
+  else
+    this->ReadFeedPart(table, version, std::make_shared<RowsReply>(),
+                       std::move(done));
+}
+
+void FleetPlanner::ReadFeedPart(const std::string& table,
+                                int64_t version,
+                                std::shared_ptr<RowsReply> parts,
+                                std::function<void(RowsReply&&)> done) {
+  this->store->Feed(table, version, absl::Milliseconds(1),
+                    [this, term = this->term, table, parts = std::move(parts),
+                     done = std::move(done)](RowsReply&& reply) {
+                      if (term != this->term)
+                        return;
+                      if (!reply.error && reply.feed_version == 0) {
+                        this->ReadTable(table, done);
+                        return;
+                      }
+                      if (parts->version == 0)
+                        parts->version = reply.version;
+                      parts->feed_version = reply.feed_version;
+                      std::move(reply.rows.begin(), reply.rows.end(),
+                                std::back_inserter(parts->rows));
+                      parts->error = reply.error;
+                      if (!reply.error && reply.more) {
+                        this->ReadFeedPart(table, reply.feed_version, parts,
+                                           done);
+                        return;
+                      }
+                      done(std::move(*parts));
+                    });
+}
+
 void FleetPlanner::OnLoaded(const std::shared_ptr<LoadedRows>& loaded) {
   const absl::Time now = BootClock().Now();
   if (this->CommitsFailing(now)) {
@@ -213,18 +251,19 @@
       [this, term = this->term](RowsReply&& reply) {
         if (term != this->term)
           return;
-        if (reply.error == PlatformError::kHistoryGone) {
-          // The feed no longer has all changes, so the whole table is read.
+        if (reply.error == PlatformError::kHistoryGone ||
+            (!reply.error && reply.feed_version == 0)) {
+          // The feed does not have all changes, so the whole table is read.
           this->ReadTable(kNodeTable, [this](RowsReply&& whole) {
             if (!whole.error)
-              this->feed_versions[kNodeTable] = whole.version;
+              this->feed_versions[kNodeTable] = whole.feed_version;
             this->ApplyNodeRows(whole.rows);
             this->FollowNodeFeed();
           });
           return;
         }
         if (!reply.error) {
-          this->feed_versions[kNodeTable] = reply.version;
+          this->feed_versions[kNodeTable] = reply.feed_version;
           this->ApplyNodeRows(reply.rows);
           this->FollowNodeFeed();
           return;
@@ -274,7 +313,7 @@
     }
     if (reply.error)
       return;
-    this->feed_versions[table] = reply.version;
+    this->feed_versions[table] = reply.feed_version;
     this->prior_starts.OnStoreVersion(reply.version, sent);
     for (const StoreRow& row : reply.rows) {
       if (row.deleted)
@@ -287,11 +326,7 @@
     if (!reply.rows.empty())
       this->SchedulePlan();
   };
-  if (this->feed_versions[table] == 0)
-    this->ReadTable(table, on_reply);
-  else
-    this->store->Feed(table, this->feed_versions[table], absl::Milliseconds(1),
-                      on_reply);
+  this->ReadChanges(table, this->feed_versions[table], on_reply);
 }
 
 void FleetPlanner::AddSubmissionRow(const StoreRow& row) {
@@ -385,12 +420,8 @@
         this->ReadUnknownSubmissions();
     });
   };
-  const int64_t version = this->feed_versions[kSubmissionTable];
-  if (version == 0)
-    this->ReadTable(kSubmissionTable, on_reply);
-  else
-    this->store->Feed(kSubmissionTable, version, absl::Milliseconds(1),
-                      on_reply);
+  this->ReadChanges(kSubmissionTable, this->feed_versions[kSubmissionTable],
+                    on_reply);
 }
 
 }  // namespace cuminjunction
--- a/daemon/policy_follower.cc
+++ b/daemon/policy_follower.cc
@@ -64,9 +64,12 @@
     return;
   }
   this->OnReadSucceeded();
-  this->version = reply.version;
+  this->version = reply.feed_version;
   this->ApplyRows(reply.rows);
-  this->ReadFeed();
+  if (this->version == 0)
+    this->Read();
+  else
+    this->ReadFeed();
 }
 
 void PolicyFollower::OnReadSucceeded() {
--- a/daemon/testing/cut_lists_test.cc
+++ b/daemon/testing/cut_lists_test.cc
@@ -89,6 +89,32 @@
   this->ExpectEachTaskRanOnce();
 }
 
+// Guards against tasks of a cancelled submission that run on: the planner took
+// the first part of the changed rows for all of them, and never read the rows
+// behind it.
+TEST_F(CutListsTest, ACancellationBehindAPartOfTheChangesIsFound) {
+  this->runner =
+      std::move(RunnerStandin::Start(&this->ledger, kLongRun).value());
+  this->entry_settings = this->EntrySettings("entry-1");
+  this->agent_settings = this->AgentSettings("agent-1", *this->runner);
+  this->StartEntry();
+  this->StartAgent();
+  ASSERT_TRUE(this->Submit(this->entry_settings, kSubmissionId,
+                           R"({"spec":"text","steps":[{"count":1,"cpu":1}]})"));
+  ASSERT_TRUE(this->WaitUntil([this] { return this->ledger.Running() == 1; }));
+  // Other entries have stored these; their notices to the planner were lost.
+  // None is read before all are there.
+  this->store->SetRefusing(true);
+  const size_t others = 2 * StoreStandin::kMaxFeedRows;
+  for (size_t i = 0; i < others; ++i)
+    this->store->Put(kCancellationTable, kFleetPart, StrCat("other-", i), "");
+  this->store->Put(kCancellationTable, kFleetPart, kSubmissionId, "");
+  this->store->SetRefusing(false);
+  EXPECT_TRUE(
+      this->WaitForState(this->entry_settings, kSubmissionId, "cancelled"));
+  EXPECT_TRUE(this->WaitUntil([this] { return this->ledger.Running() == 0; }));
+}
+
 // An agent that counts the starts that it is ordered to make, and makes none.
 class CountingAgent {
  public:
--- a/testing/support/store_standin.cc
+++ b/testing/support/store_standin.cc
@@ -204,10 +204,15 @@
                                absl::Milliseconds(wait_ms));
   if (after < this->oldest)
     return Answer(410, json::object());
-  json list = json::array();
+  std::multimap<int64_t, json> changes;
   for (const auto& [name, row] : this->rows) {
     if (std::get<0>(name) == table && row.version > after)
-      list.push_back(this->RowJson(name, row));
+      changes.emplace(row.version, this->RowJson(name, row));
+  }
+  json list = json::array();
+  for (auto& [row_version, row] : changes) {
+    if (list.size() < kMaxFeedRows)
+      list.push_back(std::move(row));
   }
   return Answer(200, {{"rows", list}, {"schemaVersion", this->version}});
 }
--- a/testing/support/store_standin.h
+++ b/testing/support/store_standin.h
@@ -58,6 +58,10 @@
   // The most rows in an answer to a read.
   void SetPageSize(size_t rows);
 
+  // The most rows in an answer of the feed, which does not say that there are
+  // more.
+  static constexpr size_t kMaxFeedRows = 500;
+
   // Answers transactions from now on only after this time.
   void SetWriteDelay(absl::Duration delay);
 
