Store the cancellation of a submission that has no row

Cause: DELETE found no row and stored nothing, while a transaction that stores the submission was still to be carried out. Ruled out: a notice that was dropped, since no cancellation was ever written.

Change: DELETE stores a cancellation, and a submission is stored only on the condition that there is none. That holds whatever a late transaction does, at any entry, without a planner. The planner checks the same for submissions that it stores for an entry. Cancellations without a submission are removed after 30 s; an entry stores those of 100 ms together.

A submission costs one expectation of some 60 bytes.

--- a/daemon/fleet_entry.h
+++ b/daemon/fleet_entry.h
@@ -22,6 +22,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
@@ -58,6 +59,13 @@
 
  private:
   struct PendingSubmission;
+  // A cancel of a submission without a row. A row that is still on its way to
+  // the store must not be stored after the answer, so the cancellation is.
+  struct UnknownCancel {
+    HttpExchange* exchange = nullptr;
+    std::string id;
+    absl::Time deadline;
+  };
 
   FleetEntry(const Settings& settings, Log* log);
 
@@ -79,6 +87,12 @@
                   const std::string& id,
                   absl::Time deadline);
   void FinishCancel(HttpExchange* exchange, const std::string& id);
+  // Stores the waiting cancels of unknown submissions together, at once or when
+  // the last such commit is long enough ago.
+  void StoreUnknownCancels();
+  void OnUnknownCancelsReply(std::vector<UnknownCancel>&& cancels,
+                             std::error_code error);
+  void FinishUnknownCancel(const UnknownCancel& cancel);
   // Asks the planner to store a row, or a cancellation when `cancel` is set,
   // that the store refused from this entry. Returns false, without a call of
   // `done`, when no planner with a reachable store is connected. `stored` is
@@ -133,6 +147,10 @@
   // Submissions in the order in which they were added to `unresolved_ids` or
   // got a final state in `states`, with the time.
   std::deque<std::pair<absl::Time, std::string>> expiry_queue;
+  // Cancels of unknown submissions that wait for the next commit of such.
+  std::deque<UnknownCancel> unknown_cancels;
+  absl::Time next_unknown_commit = absl::InfinitePast();
+  bool unknown_commit_scheduled = false;
   // Callbacks of unanswered requests to the planner, by request number.
   uint64_t next_relay_number = 1;
   std::map<uint64_t, std::function<void(bool stored)>> pending_relays;
--- a/daemon/fleet_entry_cancel.cc
+++ b/daemon/fleet_entry_cancel.cc
@@ -11,6 +11,20 @@
 
 namespace cuminjunction {
 
+namespace {
+
+// Cancels of unknown submissions are stored together, at most this many rows in
+// a commit and one commit in this time. A flood of them then leaves the store
+// to the planner: ten entries make 100 of 300 commits a second.
+constexpr size_t kMaxUnknownCancels = 90;
+constexpr absl::Duration kUnknownCancelInterval = absl::Milliseconds(100);
+
+// Shortest timeout of such a commit: within kAnswerMargin, so that a cancel
+// with little time left does not make the others fail.
+constexpr absl::Duration kMinUnknownCancelTimeout = absl::Milliseconds(100);
+
+}  // namespace
+
 void FleetEntry::OnCancel(HttpExchange* exchange, const std::string& id) {
   const absl::Time deadline =
       BootClock().Now() +
@@ -31,7 +45,8 @@
         if (error) {
           this->Refuse(exchange, 503, id, "store-unavailable");
         } else if (!state) {
-          this->Refuse(exchange, 410, id, "unknown-submission");
+          this->unknown_cancels.push_back({exchange, id, deadline});
+          this->StoreUnknownCancels();
         } else {
           this->SetState(id, *state);
           if (IsFinal(*state))
@@ -87,4 +102,81 @@
   this->Reply(exchange, 200, "{}");
 }
 
+void FleetEntry::StoreUnknownCancels() {
+  if (this->unknown_cancels.empty() || this->unknown_commit_scheduled)
+    return;
+  const absl::Time now = BootClock().Now();
+  if (now < this->next_unknown_commit) {
+    this->unknown_commit_scheduled = true;
+    auto timer = std::make_shared<boost::asio::steady_timer>(
+        this->thread.Context(),
+        absl::ToChronoMicroseconds(this->next_unknown_commit - now));
+    timer->async_wait([this, timer](std::error_code error) {
+      this->unknown_commit_scheduled = false;
+      if (!error)
+        this->StoreUnknownCancels();
+    });
+    return;
+  }
+  this->next_unknown_commit = now + kUnknownCancelInterval;
+  StoreCommit commit;
+  std::vector<UnknownCancel> cancels;
+  absl::Duration timeout = kStoreCallTimeout;
+  while (!this->unknown_cancels.empty() &&
+         cancels.size() < kMaxUnknownCancels) {
+    UnknownCancel& cancel = this->unknown_cancels.front();
+    timeout = std::min(timeout, cancel.deadline - now);
+    commit.puts.push_back({kCancellationTable, cancel.id, ""});
+    cancels.push_back(std::move(cancel));
+    this->unknown_cancels.pop_front();
+  }
+  this->store->Commit(
+      commit, std::max(timeout, kMinUnknownCancelTimeout),
+      [this, cancels = std::move(cancels)](CommitReply&& reply) mutable {
+        this->OnUnknownCancelsReply(std::move(cancels), reply.error);
+      });
+  this->StoreUnknownCancels();
+}
+
+void FleetEntry::OnUnknownCancelsReply(std::vector<UnknownCancel>&& cancels,
+                                       std::error_code error) {
+  const bool refused =
+      error == PlatformError::kRefused || error == PlatformError::kNotSent;
+  const absl::Time now = BootClock().Now();
+  for (UnknownCancel& cancel : cancels) {
+    if (!error) {
+      this->FinishUnknownCancel(cancel);
+      continue;
+    }
+    Submission cancelled;
+    cancelled.id = cancel.id;
+    if (refused && this->RelayToPlanner(cancelled, true, cancel.deadline,
+                                        [this, cancel](bool stored) {
+                                          if (stored)
+                                            this->FinishUnknownCancel(cancel);
+                                          else
+                                            this->Refuse(cancel.exchange, 504,
+                                                         cancel.id,
+                                                         "outcome-unknown");
+                                        }))
+      continue;
+    if (refused)
+      this->Refuse(cancel.exchange, 503, cancel.id, "store-unavailable");
+    else if (now + kStoreRetryDelay >= cancel.deadline)
+      this->Refuse(cancel.exchange, 504, cancel.id, "outcome-unknown");
+    else
+      this->unknown_cancels.push_back(std::move(cancel));
+  }
+  this->StoreUnknownCancels();
+}
+
+void FleetEntry::FinishUnknownCancel(const UnknownCancel& cancel) {
+  this->port->Send(CancelledNotice{cancel.id});
+  // The submission may have been stored since its row was looked for.
+  if (this->states.contains(cancel.id))
+    this->FinishCancel(cancel.exchange, cancel.id);
+  else
+    this->Refuse(cancel.exchange, 410, cancel.id, "unknown-submission");
+}
+
 }  // namespace cuminjunction
--- a/daemon/fleet_entry_submit.cc
+++ b/daemon/fleet_entry_submit.cc
@@ -71,7 +71,7 @@
   const std::string& id = pending->submission.id;
   const absl::Duration left = pending->deadline - BootClock().Now();
   this->store->Commit(
-      {.expects = {{kSubmissionTable, id, 0}},
+      {.expects = {{kSubmissionTable, id, 0}, {kCancellationTable, id, 0}},
        .puts = {{kSubmissionTable, id,
                  Encode(SubmissionRow{pending->submission})}}},
       std::clamp(left, absl::Milliseconds(1), kStoreCallTimeout),
@@ -84,12 +84,22 @@
     const std::shared_ptr<PendingSubmission>& pending,
     CommitReply&& reply) {
   const std::string& id = pending->submission.id;
-  // A conflict means that the row exists: an earlier attempt, or another entry
-  // that received the same submission, has stored it.
-  if (!reply.error || reply.error == PlatformError::kConflict) {
+  const auto has_row = [&](std::string_view table) {
+    return std::any_of(reply.rows.begin(), reply.rows.end(),
+                       [&](const StoreRow& row) { return row.table == table; });
+  };
+  // A conflict with the submission's row means that an earlier attempt, or
+  // another entry that received the same submission, has stored it.
+  const bool conflict = reply.error == PlatformError::kConflict;
+  if (!reply.error || (conflict && has_row(kSubmissionTable))) {
     this->AcceptSubmission(pending);
     return;
   }
+  // The cancellation keeps all attempts from being stored.
+  if (conflict && has_row(kCancellationTable)) {
+    this->Refuse(pending->exchange, 410, id, "cancelled");
+    return;
+  }
   const bool refused = reply.error == PlatformError::kRefused ||
                        reply.error == PlatformError::kNotSent;
   if (!refused) {
--- a/daemon/fleet_planner.h
+++ b/daemon/fleet_planner.h
@@ -153,6 +153,9 @@
                      const std::optional<Progress>& progress);
   void AddEnded(const SubmissionRow& row, absl::Time now, absl::Time wall);
   void RemoveExpiredSubmissions(absl::Time now);
+  // Removes old cancellations of submissions that were never stored. Returns
+  // true if there may be more.
+  bool RemoveEarlyCancellations(absl::Time now);
   void OnNodeMessage(const std::string& vm, FleetMessage&& message);
   // Defers a message until the submissions that it names have been read and a
   // grant may be made to the node, and with it all later messages of that node.
--- a/daemon/fleet_planner_load.cc
+++ b/daemon/fleet_planner_load.cc
@@ -27,6 +27,12 @@
 // submissions end in a second.
 constexpr absl::Duration kRemovalInterval = absl::Seconds(1);
 
+// How long the cancellation of a submission that was never stored is kept at
+// most: no copy of the submission can be stored meanwhile. The platform carries
+// calls out up to 12 s late.
+constexpr absl::Duration kEarlyCancellationTime = absl::Seconds(30);
+constexpr size_t kMaxCancellationRemovals = 90;
+
 constexpr absl::Duration kReadTimeout = absl::Seconds(2);
 constexpr absl::Duration kNodeFeedWait = absl::Seconds(8);
 constexpr std::chrono::milliseconds kRetryDelay(100);
@@ -195,7 +201,7 @@
     this->AddSubmission(submission, stored_progress);
   }
   for (const StoreRow& row : rows_of(kCancellationTable))
-    this->scheduler->Cancel(row.key);
+    this->scheduler->Cancel(row.key, now);
   for (const StoreRow& row : rows_of(kVacantTable))
     this->vacant.Load(row.key);
   this->long_grants_possible =
@@ -319,7 +325,7 @@
       if (row.deleted)
         continue;
       if (table == kCancellationTable)
-        this->scheduler->Cancel(row.key);
+        this->scheduler->Cancel(row.key, BootClock().Now());
       else
         this->AddSubmissionRow(row);
     }
@@ -374,9 +380,10 @@
 void FleetPlanner::RemoveExpiredSubmissions(absl::Time now) {
   if (now < this->next_removal)
     return;
+  const bool more_cancellations = this->RemoveEarlyCancellations(now);
   auto ids =
       this->scheduler->TakeEndedBefore(now - this->retention, kMaxRemovals);
-  if (ids.size() < kMaxRemovals)
+  if (ids.size() < kMaxRemovals && !more_cancellations)
     this->next_removal = now + kRemovalInterval;
   if (ids.empty())
     return;
@@ -395,6 +402,20 @@
   });
 }
 
+bool FleetPlanner::RemoveEarlyCancellations(absl::Time now) {
+  const auto ids = this->scheduler->TakeEarlyCancellationsBefore(
+      now - std::min(kEarlyCancellationTime, this->retention),
+      kMaxCancellationRemovals);
+  if (ids.empty())
+    return false;
+  std::vector<StoreRemove> removes;
+  removes.reserve(ids.size());
+  for (const std::string& id : ids)
+    removes.push_back({kCancellationTable, id});
+  this->lease.Write({}, removes, [] {});
+  return ids.size() == kMaxCancellationRemovals;
+}
+
 void FleetPlanner::ReadUnknownSubmissions() {
   if (std::exchange(this->reading_submissions, true))
     return;
--- a/daemon/fleet_planner_messages.cc
+++ b/daemon/fleet_planner_messages.cc
@@ -112,7 +112,7 @@
   } else if (const auto* request = std::get_if<StoreRequest>(&message)) {
     this->OnStoreRequest(node, *request);
   } else if (const auto* cancelled = std::get_if<CancelledNotice>(&message)) {
-    this->scheduler->Cancel(cancelled->submission);
+    this->scheduler->Cancel(cancelled->submission, now);
   }
   this->SchedulePlan();
 }
@@ -120,6 +120,11 @@
 void FleetPlanner::OnStoreRequest(const std::string& node,
                                   const StoreRequest& request) {
   const std::string& id = request.submission.id;
+  if (!request.cancel && this->scheduler->IsCancelledEarly(id)) {
+    this->log->Write(
+        LogLine("cancelled_not_stored").Add("submission", id).Add("vm", node));
+    return;
+  }
   std::vector<StorePut> puts;
   if (request.cancel)
     puts.push_back({kCancellationTable, id, ""});
@@ -129,7 +134,7 @@
         {kSubmissionTable, id, Encode(SubmissionRow{request.submission})});
   this->lease.Write(std::move(puts), [this, node, request] {
     if (request.cancel)
-      this->scheduler->Cancel(request.submission.id);
+      this->scheduler->Cancel(request.submission.id, BootClock().Now());
     else
       this->AddSubmission(request.submission, std::nullopt);
     this->nodes.Send(node, StoreDone{this->lease.Epoch(), request.number});
--- a/submission/scheduler.cc
+++ b/submission/scheduler.cc
@@ -71,8 +71,8 @@
     this->live[submission.id] = added;
     this->changes.push_back({submission.id, SubmissionState::kQueued});
   }
-  if (this->cancelled_before_add.erase(submission.id) > 0)
-    this->Cancel(submission.id);
+  if (this->early_cancellations.Remove(submission.id))
+    this->Cancel(submission.id, now);
   return true;
 }
 
@@ -109,10 +109,10 @@
   return found == this->submissions.end() ? nullptr : found->second.get();
 }
 
-void Scheduler::Cancel(const std::string& id) {
+void Scheduler::Cancel(const std::string& id, absl::Time now) {
   ActiveSubmission* active = this->FindActive(id);
   if (active == nullptr)
-    this->cancelled_before_add.insert(id);
+    this->early_cancellations.Add(id, now);
   else if (!IsFinal(active->state))
     this->EndSubmission(active, SubmissionState::kCancelled);
 }
--- a/submission/scheduler.h
+++ b/submission/scheduler.h
@@ -30,6 +30,7 @@
 #include "absl/time/time.h"
 #include "submission/active.h"
 #include "submission/crash.h"
+#include "submission/early_cancellations.h"
 #include "submission/interference_model.h"
 #include "submission/permits.h"
 #include "submission/place.h"
@@ -169,8 +170,20 @@
                 absl::Time ended);
 
   // Cancels a submission. The cancellation also applies to a submission that is
-  // added later.
-  void Cancel(const std::string& id);
+  // added later, until TakeEarlyCancellationsBefore() returns its id.
+  void Cancel(const std::string& id, absl::Time now);
+
+  // True if the submission was cancelled and not added yet.
+  bool IsCancelledEarly(const std::string& id) const {
+    return this->early_cancellations.Contains(id);
+  }
+
+  // Removes the cancellations before this time of submissions that were never
+  // added, at most `max_count` of them, and returns the ids.
+  std::vector<std::string> TakeEarlyCancellationsBefore(absl::Time time,
+                                                        size_t max_count) {
+    return this->early_cancellations.TakeBefore(time, max_count);
+  }
 
   // Registers a worker on which an earlier planner may have started runs, and
   // the latest grant deadline that it can have from that planner.
@@ -423,7 +436,7 @@
       submissions;
   // Submissions whose state is not final, by id.
   std::map<std::string, ActiveSubmission*> live;
-  std::set<std::string> cancelled_before_add;
+  EarlyCancellations early_cancellations;
   // Submissions whose final state is stored, by the time when they ended.
   std::set<std::pair<absl::Time, std::string>> ended;
   std::map<std::string, std::unique_ptr<Worker>> workers;
--- a/submission/testing/scheduler_test.cc
+++ b/submission/testing/scheduler_test.cc
@@ -44,7 +44,7 @@
   EXPECT_EQ(this->State(earlier), SubmissionState::kFailed);
   this->Add(MakeSubmission(earlier, {MakeStep(1, 500)}));
   this->Add(MakeSubmission(kId, {MakeStep(1, 500)}));
-  this->scheduler.Cancel(kId);
+  this->scheduler.Cancel(kId, this->now);
   this->scheduler.MergeReport(MakeReport("vm-1"), this->now);
   EXPECT_TRUE(this->Plan().starts.empty());
   // The end of this submission is not stored yet.
@@ -309,7 +309,7 @@
   this->scheduler.MergeReport(MakeReport("vm-1"), this->now);
   this->Add(MakeSubmission(kId, {MakeStep(9, 1000)}));
   ASSERT_EQ(this->Plan().starts.size(), 4u);
-  this->scheduler.Cancel(kId);
+  this->scheduler.Cancel(kId, this->now);
   const Orders orders = this->Plan();
   EXPECT_TRUE(orders.starts.empty());
   EXPECT_EQ(orders.stops.size(), 4u);
@@ -318,7 +318,7 @@
 // Guards against losing a cancellation that is read before its submission.
 TEST_F(SchedulerTest, CancellationBeforeItsSubmissionIsApplied) {
   this->scheduler.MergeReport(MakeReport("vm-1"), this->now);
-  this->scheduler.Cancel(kId);
+  this->scheduler.Cancel(kId, this->now);
   this->Add(MakeSubmission(kId, {MakeStep(1, 1000)}));
   EXPECT_TRUE(this->Plan().starts.empty());
 }
--- a/testing/support/store_standin.cc
+++ b/testing/support/store_standin.cc
@@ -1,7 +1,9 @@
 #include "testing/support/store_standin.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <utility>
 
 #include "absl/strings/escaping.h"
@@ -97,6 +99,48 @@
   this->lose = count;
 }
 
+void StoreStandin::RefuseNextWrites(int count) {
+  absl::MutexLock lock(&this->mutex);
+  this->refuse_writes = count;
+}
+
+void StoreStandin::KeepNextWrites(const std::string& table, int count) {
+  absl::MutexLock lock(&this->mutex);
+  this->kept_table = table;
+  this->keep = count;
+}
+
+void StoreStandin::CarryOutKept() {
+  std::vector<HttpRequest> due;
+  {
+    absl::MutexLock lock(&this->mutex);
+    due.swap(this->kept);
+  }
+  for (const HttpRequest& request : due)
+    this->Transact(request);
+}
+
+int StoreStandin::CountWrites(const std::string& table) const {
+  absl::MutexLock lock(&this->mutex);
+  const auto found = this->writes.find(table);
+  return found == this->writes.end() ? 0 : found->second;
+}
+
+bool StoreStandin::KeepWrite(const HttpRequest& request) {
+  const json body = json::parse(request.body, nullptr, false);
+  absl::MutexLock lock(&this->mutex);
+  if (this->keep == 0 || !body.is_object())
+    return false;
+  const json& puts = body["setKeys"];
+  if (std::none_of(puts.begin(), puts.end(), [this](const json& put) {
+        return put["table"] == this->kept_table;
+      }))
+    return false;
+  --this->keep;
+  this->kept.push_back(request);
+  return true;
+}
+
 HttpResponse StoreStandin::Handle(const HttpRequest& request) {
   absl::Duration delay;
   {
@@ -107,6 +151,8 @@
   }
   if (request.path == "/v1/rows-tx") {
     absl::SleepFor(delay);
+    if (this->KeepWrite(request))
+      return Answer(0, json::object());
     return this->Transact(request);
   }
   if (request.path == "/v1/rows-get")
@@ -129,6 +175,10 @@
   if (!body.is_object())
     return Answer(400, json::object());
   absl::MutexLock lock(&this->mutex);
+  if (this->refuse_writes > 0 && this->lose == 0) {
+    --this->refuse_writes;
+    return Answer(503, json::object());
+  }
   json current = json::array();
   bool conflict = false;
   for (const json& expect : body["expect"]) {
@@ -142,6 +192,11 @@
   if (conflict)
     return Answer(412, {{"rows", current}, {"schemaVersion", this->version}});
   ++this->version;
+  std::set<std::string> written;
+  for (const json& put : body["setKeys"])
+    written.insert(put["table"]);
+  for (const std::string& table : written)
+    ++this->writes[table];
   for (const json& put : body["setKeys"]) {
     std::string value;
     absl::Base64Unescape(put["value"].get<std::string>(), &value);
--- a/testing/support/store_standin.h
+++ b/testing/support/store_standin.h
@@ -17,6 +17,7 @@
 #include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <tuple>
+#include <vector>
 
 #include "absl/synchronization/mutex.h"
 #include "absl/time/time.h"
@@ -68,6 +69,20 @@
   // Carries out the next transactions without an answer.
   void LoseReplies(int count);
 
+  // Answers 503 to the next transactions, and does nothing, once no reply is to
+  // be lost any more.
+  void RefuseNextWrites(int count);
+
+  // Leaves the next transactions that write to this table without an answer,
+  // and keeps them until CarryOutKept().
+  void KeepNextWrites(const std::string& table, int count);
+
+  // Carries out the transactions that were kept, each if its condition holds.
+  void CarryOutKept();
+
+  // Number of transactions that wrote to this table.
+  int CountWrites(const std::string& table) const;
+
  private:
   // Table, part and key.
   using Name = std::tuple<std::string, std::string, std::string>;
@@ -78,6 +93,8 @@
 
   HttpResponse Handle(const HttpRequest& request);
   HttpResponse Transact(const HttpRequest& request);
+  // True if the transaction is to be carried out later; takes note of it then.
+  bool KeepWrite(const HttpRequest& request);
   HttpResponse Read(const HttpRequest& request);
   HttpResponse Feed(const HttpRequest& request);
   nlohmann::json RowJson(const Name& name, const Row& row) const;
@@ -90,6 +107,11 @@
   size_t page_size = 500;
   bool refusing = false;
   int lose = 0;
+  int refuse_writes = 0;
+  std::string kept_table;
+  int keep = 0;
+  std::vector<HttpRequest> kept;
+  std::map<std::string, int> writes;
   absl::Duration write_delay;
   // Last, so that it stops first.
   std::unique_ptr<HttpServer> server;
