Take a refusal after a second copy of a call for an unknown outcome

Cause: when a kept connection breaks before the answer, libcurl sends the request again on another one. An answer to the second copy that says "nothing was done" was taken for the outcome of the call, although the first copy may have been carried out. A start was then given up and ordered anew elsewhere; the agent found the first run and stopped it in vain where the runner went on answering with errors. Evidence: the record has such a pair of copies for a stop of run 1, "lost" and "errors" at the same 12.626 s, where our own repetitions are 80 ms apart; and run 1 goes on to its end beside two others.

Change: the HTTP client counts the copies of a request that it sends (CURLOPT_PREREQFUNCTION) and marks the answer.

Cost: one callback in each copy of a call. No more calls, rows or bytes, but for stops after such a refusal.

--- a/base/http_caller.cc
+++ b/base/http_caller.cc
@@ -80,6 +80,8 @@
   curl_slist* lines = nullptr;
   HttpAnswer answer;
   size_t header_bytes = 0;
+  // Copies of the request that libcurl has begun to send.
+  int copies = 0;
   // The answer says where it ends, so that its end differs from a broken
   // connection.
   bool has_length = false;
@@ -203,6 +205,7 @@
   transfer->lines = nullptr;
   transfer->answer = HttpAnswer();
   transfer->header_bytes = 0;
+  transfer->copies = 0;
   transfer->has_length = false;
   transfer->too_large = false;
   transfer->deadline_timer.reset();
@@ -234,6 +237,8 @@
   curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
   curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &OnClose);
   curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
+  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnRequest);
+  curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer);
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer);
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
@@ -308,6 +313,7 @@
   HttpAnswer answer = std::move(transfer->answer);
   answer.status = static_cast<uint32_t>(status);
   answer.result = ResultOf(code);
+  answer.resent = transfer->copies > 1;
   // Only a call of which no byte was written certainly has not started.
   if (answer.result == CallResult::kTimeout && request_size == 0)
     answer.result = CallResult::kNotStarted;
@@ -422,6 +428,15 @@
   return 0;
 }
 
+int HttpCaller::OnRequest(void* transfer,
+                          char* /*to*/,
+                          char* /*from*/,
+                          int /*to_port*/,
+                          int /*from_port*/) {
+  ++static_cast<Transfer*>(transfer)->copies;
+  return CURL_PREREQFUNC_OK;
+}
+
 size_t HttpCaller::OnHeader(char* data,
                             size_t size,
                             size_t count,
--- a/base/http_caller.h
+++ b/base/http_caller.h
@@ -66,6 +66,11 @@
 struct HttpAnswer {
   CallResult result = CallResult::kCutOff;
   uint32_t status = 0;
+  // The request was sent more than once: a kept connection broke before its
+  // answer, and libcurl sent the request again on another one. What the answer
+  // says is true of the last copy; the upstream may carry out an earlier one
+  // too, also later.
+  bool resent = false;
   HeaderList headers;
   std::string body;
 };
@@ -119,6 +124,11 @@
                               curlsocktype purpose,
                               curl_sockaddr* address);
   static int OnClose(void* self, curl_socket_t fd);
+  static int OnRequest(void* transfer,
+                       char* to,
+                       char* from,
+                       int to_port,
+                       int from_port);
   static size_t OnHeader(char* data, size_t size, size_t count, void* transfer);
   static size_t OnBody(char* data, size_t size, size_t count, void* transfer);
 
--- a/daemon/runner_guard_starts.cc
+++ b/daemon/runner_guard_starts.cc
@@ -156,6 +156,7 @@
   if (found == this->starting.end() || found->second.order.run != run)
     return;
   PendingStart& pending = found->second;
+  pending.unresolved = pending.unresolved || reply.resent;
   switch (reply.result) {
     case OrderResult::kDone:
       pending.accepted_at = BootClock().Now();
--- a/testing/support/runner_standin.cc
+++ b/testing/support/runner_standin.cc
@@ -165,6 +165,11 @@
       return Answer(0, json::object());
     if (this->DelayCall(request))
       return Answer(0, json::object());
+    int& refuse = this->refuse_by_path[request.path];
+    if (refuse > 0 && this->lose == 0) {
+      --refuse;
+      return Answer(503, json::object());
+    }
     HttpResponse response = this->CarryOut(request, &last_seen, &wait_ms);
     if (request.path != "/v1/hold" || response.status != 200)
       return response;
@@ -288,6 +293,11 @@
   return this->stops;
 }
 
+void RunnerStandin::RefuseNextCalls(const std::string& path, int count) {
+  absl::MutexLock lock(&this->mutex);
+  this->refuse_by_path[path] = count;
+}
+
 void RunnerStandin::RefuseNextStarts(int count) {
   absl::MutexLock lock(&this->mutex);
   this->refuse_starts = count;
--- a/testing/support/runner_standin.h
+++ b/testing/support/runner_standin.h
@@ -149,6 +149,10 @@
   // Number of calls that read the lists.
   int Holds() const;
 
+  // Answers 503 to the next calls of this path, and does nothing, once no reply
+  // is to be lost any more.
+  void RefuseNextCalls(const std::string& path, int count);
+
   // Refuses the next starts as old, and keeps none of them.
   void RefuseNextStarts(int count);
 
@@ -206,6 +210,7 @@
   int lose_holds = 0;
   int cut_short_holds = 0;
   int refuse_starts = 0;
+  std::map<std::string, int> refuse_by_path;
   std::map<std::string, int> keep_by_path;
   double delayed_share = 0;
   absl::Duration delay;
