Store a submission for an entry on the same conditions as the entry does

Cause: an entry that the store refuses has the planner store the submission. The planner wrote the row with its own rows, whatever was there. A cancellation that it had not read yet did not keep it from that. A row that another entry had stored got a new version, by which the planner takes the submission for one that no planner before it can have started; and a commit that failed was repeated for as long as the planner lived, long after the entry's answer.

Test, failed before: UnknownCancelsTest. ThePlannerStoresNoSubmissionTwiceOrAfterItsCancel (the cancelled one is stored, and the row that was there is written anew).

Cost: one transaction for each such submission, which shared one with others before; entries ask only while the store turns them away.

--- a/daemon/testing/unknown_cancels_test.cc
+++ b/daemon/testing/unknown_cancels_test.cc
@@ -6,8 +6,10 @@
 #include <thread>
 #include <vector>
 
+#include "base/event_thread.h"
 #include "base/time.h"
 #include "daemon/node_row.h"
+#include "daemon/planner_port.h"
 #include "daemon/testing/fleet_fixture.h"
 
 namespace cuminjunction {
@@ -93,6 +95,97 @@
   EXPECT_EQ(this->ledger.StartedSubmissions(), std::set<std::string>{later});
 }
 
+// An entry that has the planner store submissions.
+class RefusedEntry {
+ public:
+  RefusedEntry(const Settings& settings, Log* log)
+      : thread("entry"),
+        port(&this->thread,
+             settings.name,
+             log,
+             {.on_planner_connected = [this] { this->connected = true; },
+              .on_planner_disconnected = [] {},
+              .is_store_unreachable = nullptr,
+              .rules_out_long_grants = nullptr,
+              .on_ping = [](const PlannerPing&) {},
+              .on_message =
+                  [this](FleetMessage&& message) {
+                    if (const auto* done = std::get_if<StoreDone>(&message))
+                      this->stored.insert(done->number);
+                  }}) {
+    this->thread.Start();
+    this->thread.Call([&] {
+      EXPECT_TRUE(this->port.Listen("127.0.0.1", settings.listen.peer_port));
+    });
+  }
+  ~RefusedEntry() {
+    this->thread.Call([this] { this->port.Close(); });
+    this->thread.Stop();
+  }
+
+  bool IsConnected() {
+    return this->thread.Call([this] { return this->connected; });
+  }
+
+  void Send(const StoreRequest& request) {
+    this->thread.Call([&] { this->port.Send(request); });
+  }
+
+  // Numbers of the requests that the planner has carried out.
+  std::set<uint64_t> Stored() {
+    return this->thread.Call([this] { return this->stored; });
+  }
+
+ private:
+  EventThread thread;
+  PlannerPort port;
+  bool connected = false;
+  std::set<uint64_t> stored;
+};
+
+// Guards against a submission that runs after its cancel, and against one whose
+// row is written anew, so that a planner takes it for one that none before it
+// can have started: the planner stored it for an entry whatever was there.
+TEST_F(UnknownCancelsTest, ThePlannerStoresNoSubmissionTwiceOrAfterItsCancel) {
+  const Settings refused_settings = this->CommonSettings("entry-2");
+  RefusedEntry refused(refused_settings, &this->log);
+  this->store->Put(
+      kNodeTable, kFleetPart, refused_settings.name,
+      Encode(NodeRow{{"127.0.0.1", refused_settings.listen.peer_port}, false}));
+  this->StartEntry();
+  ASSERT_TRUE(this->WaitUntil([&] { return refused.IsConnected(); }));
+  const auto request = [](uint64_t number, const std::string& id) {
+    StoreRequest store_request;
+    store_request.number = number;
+    store_request.submission.id = id;
+    store_request.submission.queue = "plans";
+    Step step;
+    step.count = 1;
+    store_request.submission.steps.push_back(step);
+    return store_request;
+  };
+  const std::string cancelled = "00000000000000a1";
+  const std::string known = "00000000000000a2";
+  const std::string unknown = "00000000000000a3";
+  this->store->Put(kCancellationTable, kFleetPart, cancelled, "");
+  // Another text shows whether the row is written anew.
+  Submission stored = request(0, known).submission;
+  stored.text = "stored by another entry";
+  this->store->Put(kSubmissionTable, kFleetPart, known,
+                   Encode(SubmissionRow{stored}));
+  refused.Send(request(1, cancelled));
+  refused.Send(request(2, known));
+  refused.Send(request(3, unknown));
+  EXPECT_TRUE(this->WaitUntil([&] {
+    return refused.Stored().contains(2) && refused.Stored().contains(3);
+  }));
+  EXPECT_FALSE(refused.Stored().contains(1));
+  EXPECT_EQ(this->store->CountRows(kSubmissionTable), 2u);
+  EXPECT_EQ(this->store->CountBytes(kSubmissionTable),
+            Encode(SubmissionRow{stored}).size() +
+                Encode(SubmissionRow{request(3, unknown).submission}).size());
+}
+
 // Guards against an answer that nothing stands behind: the cancellation could
 // not be stored.
 TEST_F(UnknownCancelsTest, ACancelThatIsNotStoredIsNotAcknowledged) {
--- a/submission/scheduler.h
+++ b/submission/scheduler.h
@@ -173,11 +173,6 @@
   // added later, until TakeEarlyCancellationsBefore() returns its id.
   void Cancel(const std::string& id, absl::Time now);
 
-  // True if the submission was cancelled and not added yet.
-  bool IsCancelledEarly(const std::string& id) const {
-    return this->early_cancellations.Contains(id);
-  }
-
   // Removes the cancellations before this time of submissions that were never
   // added, at most `max_count` of them, and returns the ids.
   std::vector<std::string> TakeEarlyCancellationsBefore(absl::Time time,
