Tell a planner that connects of the latest cancellations

Cause: an entry tells the planner of a cancellation once, and drops the notice while no planner is connected. The planner then reads it from the feed, later still when the feed's history is lost.

Change: an entry repeats the cancellations of the last 5 s to a planner that connects, as it does with accepted submissions. Those of submissions without a row are left out: such a submission can't be stored.

Test, failed before (60 s without a notice): FleetTest.ACancellationIsRepeatedToThePlannerThatConnects.

Cost: one message of some 30 bytes for each of these on each new connection to a planner.

--- a/daemon/fleet_entry.cc
+++ b/daemon/fleet_entry.cc
@@ -21,9 +21,9 @@
 // to 9 s, and callers retry four times.
 constexpr char kRetryAfterS[] = "2";
 
-// How long after its acceptance a submission is sent to a new planner. Older
-// ones are found by the planner's reads of the tables.
-constexpr absl::Duration kAcceptedRepeatTime = absl::Seconds(5);
+// How long after its acceptance or its cancellation a submission is sent to a
+// new planner. Older ones are found by the planner's reads of the tables.
+constexpr absl::Duration kNoticeRepeatTime = absl::Seconds(5);
 
 // The platform's rules allow counts of waiting submissions that are 2 s old.
 constexpr absl::Duration kMaxWaitingCountAge = absl::Milliseconds(1900);
@@ -152,8 +152,11 @@
   this->planner->Tick(this->view);
   const absl::Time now = BootClock().Now();
   while (!this->recently_accepted.empty() &&
-         now - this->recently_accepted.front().first > kAcceptedRepeatTime)
+         now - this->recently_accepted.front().first > kNoticeRepeatTime)
     this->recently_accepted.pop_front();
+  while (!this->recently_cancelled.empty() &&
+         now - this->recently_cancelled.front().first > kNoticeRepeatTime)
+    this->recently_cancelled.pop_front();
   this->RemoveExpired(now);
   this->tick_timer.expires_after(kTickInterval);
   this->tick_timer.async_wait([this](std::error_code error) {
@@ -361,6 +364,8 @@
 void FleetEntry::OnPlannerConnected() {
   for (const auto& [time, submission] : this->recently_accepted)
     this->port->Send(AcceptedNotice{submission});
+  for (const auto& [time, id] : this->recently_cancelled)
+    this->port->Send(CancelledNotice{id});
 }
 
 void FleetEntry::OnMessage(FleetMessage&& message) {
--- a/daemon/fleet_entry.h
+++ b/daemon/fleet_entry.h
@@ -141,6 +141,8 @@
   // Submissions accepted within the last seconds, which are sent to a new
   // planner.
   std::deque<std::pair<absl::Time, Submission>> recently_accepted;
+  // The same for submissions that were cancelled.
+  std::deque<std::pair<absl::Time, std::string>> recently_cancelled;
   // Submissions whose row this entry may or may not have stored. A later
   // request for one must not be answered as refused.
   absl::flat_hash_set<std::string> unresolved_ids;
--- a/daemon/fleet_entry_cancel.cc
+++ b/daemon/fleet_entry_cancel.cc
@@ -66,7 +66,9 @@
       std::clamp(left, absl::Milliseconds(1), kStoreCallTimeout),
       [this, exchange, id, deadline](CommitReply&& reply) {
         if (!reply.error) {
+          // Dropped while no planner is connected.
           this->port->Send(CancelledNotice{id});
+          this->recently_cancelled.emplace_back(BootClock().Now(), id);
           this->FinishCancel(exchange, id);
           return;
         }
--- a/daemon/testing/fleet_test.cc
+++ b/daemon/testing/fleet_test.cc
@@ -2,6 +2,10 @@
 // of its store and runners on loopback. Waits end as soon as the awaited state
 // is reached; their time limit only ends the test on a broken system.
 
+#include <set>
+
+#include "base/event_thread.h"
+#include "daemon/planner_nodes.h"
 #include "daemon/testing/fleet_fixture.h"
 
 namespace cuminjunction {
@@ -305,6 +309,81 @@
   EXPECT_EQ(this->ledger.Violations(), 0);
 }
 
+// A planner without a lease that takes note of the cancellations it is told.
+class ListeningPlanner {
+ public:
+  ListeningPlanner(Log* log, const NodeRow& entry, uint64_t epoch)
+      : thread("planner"),
+        nodes(&this->thread.Context(),
+              "planner",
+              log,
+              {.on_connected = [this](const std::string&,
+                                      bool) { this->connected = true; },
+               .on_disconnected = [](const std::string&, bool) {},
+               .on_long_grants_ruled_out = [] {},
+               .may_grant = [](const std::string&) { return false; },
+               .on_granted = [](const std::string&, absl::Time) {},
+               .on_message =
+                   [this](const std::string&, FleetMessage&& message) {
+                     if (const auto* notice =
+                             std::get_if<CancelledNotice>(&message))
+                       this->cancelled.insert(notice->submission);
+                   },
+               .on_higher_epoch = [] {}}) {
+    this->thread.Start();
+    this->thread.Call([&] {
+      this->nodes.Start(epoch);
+      this->nodes.Add("entry-1", entry);
+    });
+  }
+  ~ListeningPlanner() {
+    this->thread.Call([this] { this->nodes.Stop(); });
+    this->thread.Stop();
+  }
+
+  bool IsConnected() {
+    return this->thread.Call([this] {
+      this->nodes.Tick(absl::ZeroDuration(), false);
+      return this->connected;
+    });
+  }
+
+  bool IsCancelled(const std::string& id) {
+    return this->thread.Call([&] { return this->cancelled.contains(id); });
+  }
+
+ private:
+  EventThread thread;
+  PlannerNodes nodes;
+  bool connected = false;
+  std::set<std::string> cancelled;
+};
+
+// Guards against tasks that start seconds after an acknowledged cancellation:
+// the entry had no planner at that moment, and the planner that connected next
+// was not told.
+TEST_F(FleetTest, ACancellationIsRepeatedToThePlannerThatConnects) {
+  const Settings settings = this->EntrySettings("entry-1");
+  const NodeRow row{{settings.listen.host, settings.listen.peer_port}, false};
+  auto entry = FleetEntry::Start(settings, &this->log);
+  ASSERT_TRUE(this->WaitUntilReady(settings));
+  ASSERT_TRUE(this->Submit(settings, kSubmissionId, kTwoSteps));
+  // The entry follows no planner of a lower epoch after this one.
+  constexpr uint64_t kEpoch = 1000;
+  {
+    ListeningPlanner planner(&this->log, row, kEpoch);
+    ASSERT_TRUE(this->WaitUntil([&] { return planner.IsConnected(); }));
+  }
+  EXPECT_EQ(this->Call(settings.fleet.submissions, "DELETE",
+                       StrCat("/plans/", kSubmissionId))
+                .status,
+            200);
+  ListeningPlanner planner(&this->log, row, kEpoch + 1);
+  ASSERT_TRUE(this->WaitUntil([&] { return planner.IsConnected(); }));
+  EXPECT_TRUE(
+      this->WaitUntil([&] { return planner.IsCancelled(kSubmissionId); }));
+}
+
 TEST_F(FleetTest, ACancelledSubmissionStopsAndStaysCancelled) {
   auto runner =
       std::move(RunnerStandin::Start(&this->ledger, absl::Seconds(50)).value());
