Keep the ends that a runner has listed when its lease expires

Callers would have seen work done again.

Cause: an agent that was paused for longer than its grant reports that its runner is lost, and left out the ends that the runner had listed before the pause. The next planner had not read them yet and started the tasks again, 80 ms before the next list of the runner showed their ends. Evidence: in the logs of agent-7 the ends 41 to 47 are listed before the pause, `runner_lost` follows at 483.474 s, a report with 0 ends, the starts at 483.478 s, and a report with 7 ends at 483.557 s.

Change: only the runs and the pending starts are dropped. The ends are facts of that incarnation, and are dropped with it.

Test, failed before: RunnerGuardTest.EndsAreKeptWhenTheLeaseExpires (no end instead of one).

--- a/daemon/runner_guard.h
+++ b/daemon/runner_guard.h
@@ -231,6 +231,7 @@
   // Returns the runs and pending starts on the runner, whose lists had no
   // answer from this time on, and writes a line for each.
   std::vector<LostRun> CollectLostRuns(absl::Time silent_at);
+  // Removes all runs and pending starts, but not the ends.
   void ClearRuns();
   void RecordClock(const OrderReply& reply, absl::Time now);
   // Returns the expiry, on the runner's clock, of the longest lease that the
--- a/daemon/runner_guard_incarnations.cc
+++ b/daemon/runner_guard_incarnations.cc
@@ -79,6 +79,7 @@
   // The runner counts as lost until the full report that follows.
   this->alive = false;
   this->ClearRuns();
+  this->ended.clear();
   this->descriptions = std::move(continuing_descriptions);
   this->starting = std::move(undecided);
 }
@@ -151,7 +152,7 @@
 
 void RunnerGuard::ClearRuns() {
   this->running.clear();
-  this->ended.clear();
+  // The caller knows that nothing runs, so no task waits for other ends.
   this->more_ends = false;
   this->starting.clear();
   this->descriptions.clear();
@@ -163,7 +164,8 @@
   if (now < this->lease_expiry || already_lost)
     return;
   this->changing_incarnation = false;
-  // Every lease has expired, so the runner has ended its runs by itself.
+  // Every lease has expired, so the runner has ended its runs by itself. The
+  // ends that it has listed before remain.
   this->log->Write(LogLine("runner_lost", LogLevel::kWarning)
                        .Add("born_ms", this->born_ms)
                        .Add("lost_runs", this->running.size())
--- a/daemon/testing/runner_guard_test.cc
+++ b/daemon/testing/runner_guard_test.cc
@@ -154,6 +154,28 @@
   }));
 }
 
+// Guards against tasks that run again after their end: a runner had listed
+// their ends before the lease expired, and the report that it was lost left
+// them out.
+TEST_F(RunnerGuardTest, EndsAreKeptWhenTheLeaseExpires) {
+  ASSERT_TRUE(this->WaitUntil([this] { return this->guard->IsRunnerAlive(); }));
+  this->thread.Call([this] {
+    RunOrder order;
+    order.task = {"5c0e7a21d94b36f8", 0, 0, 0};
+    order.run = 1;
+    this->guard->Start(this->guard->BornMs(), order, "text");
+  });
+  ASSERT_TRUE(this->WaitUntil([this] { return !this->ends.empty(); }));
+  this->standin->LoseHoldReplies(1000);
+  ASSERT_TRUE(
+      this->WaitUntil([this] { return !this->guard->IsRunnerAlive(); }));
+  this->thread.Call([this] {
+    EXPECT_TRUE(this->guard->Running().empty());
+    ASSERT_EQ(this->guard->Ended().size(), 1u);
+    EXPECT_EQ(this->guard->Ended().front().outcome, RunOutcome::kDone);
+  });
+}
+
 TEST_F(RunnerGuardTest, ConfirmedEndsAreRemoved) {
   ASSERT_TRUE(this->WaitUntil([this] { return this->guard->IsRunnerAlive(); }));
   this->thread.Call([this] {
