--- a/daemon/testing/fleet_test.cc
+++ b/daemon/testing/fleet_test.cc
@@ -309,6 +309,9 @@
   EXPECT_EQ(this->ledger.Violations(), 0);
 }
 
+// An entry follows no planner of a lower epoch after one of this epoch.
+constexpr uint64_t kHighEpoch = 1000;
+
 // A planner without a lease that takes note of the cancellations it is told.
 class ListeningPlanner {
  public:
@@ -368,17 +371,15 @@
   auto entry = FleetEntry::Start(settings, &this->log);
   ASSERT_TRUE(this->WaitUntilReady(settings));
   ASSERT_TRUE(this->Submit(settings, kSubmissionId, kTwoSteps));
-  // The entry follows no planner of a lower epoch after this one.
-  constexpr uint64_t kEpoch = 1000;
   {
-    ListeningPlanner planner(&this->log, row, kEpoch);
+    ListeningPlanner planner(&this->log, row, kHighEpoch);
     ASSERT_TRUE(this->WaitUntil([&] { return planner.IsConnected(); }));
   }
   EXPECT_EQ(this->Call(settings.fleet.submissions, "DELETE",
                        StrCat("/plans/", kSubmissionId))
                 .status,
             200);
-  ListeningPlanner planner(&this->log, row, kEpoch + 1);
+  ListeningPlanner planner(&this->log, row, kHighEpoch + 1);
   ASSERT_TRUE(this->WaitUntil([&] { return planner.IsConnected(); }));
   EXPECT_TRUE(
       this->WaitUntil([&] { return planner.IsCancelled(kSubmissionId); }));
--- a/daemon/testing/unknown_cancels_test.cc
+++ b/daemon/testing/unknown_cancels_test.cc
@@ -20,6 +20,9 @@
 // Patience of a caller that is long enough for several attempts.
 constexpr int64_t kLongPatienceMs = 1500;
 
+// Concurrent callers of a flood.
+constexpr int kCallers = 100;
+
 constexpr char kOneTask[] =
     R"({"spec":"text","steps":[{"count":1,"cpu":500}]})";
 
@@ -185,7 +188,6 @@
 // Guards against a flood of cancels that takes the store from the planner: each
 // one was a transaction of its own.
 TEST_F(UnknownCancelsTest, CancelsOfAFloodShareTransactions) {
-  constexpr int kCallers = 100;
   this->StartEntry();
   const absl::Time start = SteadyClock().Now();
   std::vector<std::thread> callers;
