--- a/fuzz/planner_input_fuzz.cc
+++ b/fuzz/planner_input_fuzz.cc
@@ -97,7 +97,7 @@
     if (const auto* notice = std::get_if<WorkerNotice>(&message.value())) {
       this->scheduler.MergeReport(
           {"vm-1", notice->info, notice->alive, notice->running, notice->ended,
-           notice->crashes},
+           notice->crashes, notice->more_ends},
           this->now);
     } else if (const auto* info =
                    std::get_if<RunnerInfoNotice>(&message.value())) {
@@ -125,7 +125,7 @@
       this->Add(accepted->submission, std::nullopt);
     } else if (const auto* cancelled =
                    std::get_if<CancelledNotice>(&message.value())) {
-      this->scheduler.Cancel(cancelled->submission);
+      this->scheduler.Cancel(cancelled->submission, this->now);
     } else if (std::holds_alternative<WorkerVacated>(message.value())) {
       this->scheduler.OnVacated("vm-1", this->now);
     }
