Store reported ends no later than the mark of their VM

Cause: the mark that nothing runs on a VM (table vacant) was written in the tick after the last run of a VM that drains had ended, and the end itself with the next plan, in a later commit. When the planner was lost in between, or its later commits failed, the next planner found the mark without the end. It did not wait for that VM and started the task elsewhere, before the VM reported.

Change: the planner writes all ends that it has before the mark. Commits take rows in the order of their tables, so the mark is in the same commit as the ends or in a later one.

Cost: none in calls; the rows were written a few milliseconds later before.

--- a/daemon/fleet_planner_messages.cc
+++ b/daemon/fleet_planner_messages.cc
@@ -268,6 +268,9 @@
   this->log->Write(LogLine("worker_vacant")
                        .Add("vm", node)
                        .Add("epoch", this->lease.Epoch()));
+  // The next planner does not wait for the worker, so the ends that it has
+  // reported are stored no later than the mark.
+  this->Flush();
   this->lease.Write({{kVacantTable, node, ""}}, [] {});
 }
 
--- /dev/null
+++ b/daemon/testing/fleet_planner_test.cc
@@ -0,0 +1,208 @@
+// Tests of one planner at a time, with stand-ins of the store and of the
+// agents. The test runs the planner's event loop, so that it decides between
+// which events a tick comes.
+
+#include "daemon/fleet_planner.h"
+
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "daemon/node_row.h"
+#include "daemon/testing/fleet_fixture.h"
+#include "daemon/testing/port_process.h"
+#include "submission/testing/scheduler_fixture.h"
+
+namespace cuminjunction {
+namespace {
+
+// More writes than a test makes.
+constexpr int kAll = 1000000;
+
+// An agent that reports what the test sets, and keeps the starts that it is
+// ordered to make.
+class ReportingAgent {
+ public:
+  ReportingAgent(const Settings& settings, Log* log)
+      : process(
+            settings,
+            log,
+            [this] { this->OnConnected(); },
+            [this](FleetMessage&& message) {
+              if (const auto* order = std::get_if<StartRuns>(&message))
+                this->starts.insert(this->starts.end(), order->runs.begin(),
+                                    order->runs.end());
+              if (const auto* ends = std::get_if<ConfirmEndedRuns>(&message))
+                this->confirmed = ends->last_number;
+            }) {
+    this->notice.info.runner = StrCat("runner-of-", settings.name);
+    this->notice.info.born_ms = 1;
+    this->notice.info.service = "line";
+    this->notice.info.capacity = {2000, 1000, 0};
+    this->notice.info.labels = {"a", "rack-1"};
+    this->notice.alive = true;
+  }
+
+  // Sets what is reported to each planner that connects, and reports it now if
+  // one is connected.
+  void Report(const WorkerNotice& new_notice) {
+    this->process.Call([&] {
+      this->notice = new_notice;
+      this->reports = true;
+      this->process.Send(this->notice);
+    });
+  }
+
+  // Sends messages to the planner, one right after the other.
+  void Send(const std::vector<FleetMessage>& messages) {
+    this->process.Call([&] {
+      for (const FleetMessage& message : messages)
+        this->process.Send(message);
+    });
+  }
+
+  WorkerNotice Notice() {
+    return this->process.Call([this] { return this->notice; });
+  }
+
+  std::vector<RunOrder> Starts() {
+    return this->process.Call([this] { return this->starts; });
+  }
+
+  // Number of the last end that the planner has confirmed.
+  uint64_t Confirmed() {
+    return this->process.Call([this] { return this->confirmed; });
+  }
+
+  // Number of planners that have connected.
+  int Connections() {
+    return this->process.Call([this] { return this->connections; });
+  }
+
+ private:
+  void OnConnected() {
+    ++this->connections;
+    if (this->reports)
+      this->process.Send(this->notice);
+  }
+
+  WorkerNotice notice;
+  bool reports = false;
+  int connections = 0;
+  uint64_t confirmed = 0;
+  std::vector<RunOrder> starts;
+  // Last, so that its thread ends first.
+  PortProcess process;
+};
+
+class FleetPlannerTest : public FleetTest {
+ protected:
+  ~FleetPlannerTest() override { this->StopPlanner(); }
+
+  // Adds the agent's row, which planners read.
+  void AddNode(const Settings& settings) {
+    this->store->Put(kNodeTable, kFleetPart, settings.name,
+                     Encode(NodeRow{PortProcess::Address(settings), true}));
+  }
+
+  void AddSubmission(const std::string& id) {
+    this->store->Put(
+        kSubmissionTable, kFleetPart, id,
+        Encode(SubmissionRow{MakeSubmission(id, {MakeStep(1, 500)})}));
+  }
+
+  // Starts the planner of the VM front-1, which takes its own lease at once.
+  void StartPlanner() {
+    this->context = std::make_unique<boost::asio::io_context>();
+    this->planner_store = std::make_unique<Store>(
+        this->context.get(), StoreOptions{this->store->Address(), kFleetPart});
+    this->planner = std::make_unique<FleetPlanner>(
+        this->context.get(), this->planner_store.get(), "front-1",
+        absl::ZeroDuration(), absl::Hours(1), &this->log, &this->metrics);
+    this->planner->SetPolicy(MakePolicy());
+  }
+
+  // Ends the planner as a crash does: nothing that it has not stored remains,
+  // and the handlers that wait in its event loop are not called.
+  void StopPlanner() {
+    this->planner = nullptr;
+    this->planner_store = nullptr;
+    this->context = nullptr;
+  }
+
+  // Runs the planner, with a tick after each event, until the condition holds.
+  // Returns false when it is still false after kTestTimeout.
+  bool RunUntil(const std::function<bool()>& condition) {
+    const absl::Time limit = absl::Now() + kTestTimeout;
+    while (!condition()) {
+      if (absl::Now() > limit)
+        return false;
+      this->context->restart();
+      this->context->run_one_for(std::chrono::milliseconds(1));
+      this->planner->Tick(this->view);
+    }
+    return true;
+  }
+
+  // Runs the planner for this long.
+  void RunFor(absl::Duration time) {
+    const absl::Time end = absl::Now() + time;
+    ASSERT_TRUE(this->RunUntil([&] { return absl::Now() >= end; }));
+  }
+
+  Metrics metrics;
+  PlannerView view;
+  std::unique_ptr<boost::asio::io_context> context;
+  std::unique_ptr<Store> planner_store;
+  std::unique_ptr<FleetPlanner> planner;
+};
+
+// Guards against a task that runs again after its end: the mark that nothing
+// runs on a VM that drains was stored before the ends of its last runs. The
+// planner was lost in between, and the next one did not wait for that VM.
+TEST_F(FleetPlannerTest, AVmIsNotMarkedVacantBeforeItsEndsAreStored) {
+  const Settings draining_settings = this->CommonSettings("agent-1");
+  auto draining =
+      std::make_unique<ReportingAgent>(draining_settings, &this->log);
+  draining->Report(draining->Notice());
+  this->AddNode(draining_settings);
+  this->AddSubmission(kSubmissionId);
+  this->StartPlanner();
+  ASSERT_TRUE(this->RunUntil([&] { return draining->Starts().size() == 1; }));
+  const RunOrder order = draining->Starts().front();
+  // No commit is on its way, and the next one need not wait.
+  this->RunFor(absl::Milliseconds(100));
+  this->store->KeepNextWrites(kSubmissionTable, kAll);
+  WorkerNotice ended = draining->Notice();
+  ended.info.draining = true;
+  ended.ended = {{1, order.task, order.run, RunOutcome::kDone, ""}};
+  draining->Send({RunnerInfoNotice{ended.info, true},
+                  EndedRunsNotice{ended.info.born_ms, ended.ended}});
+  ASSERT_TRUE(this->RunUntil([&] { return this->store->KeptWrites() > 0; }));
+  EXPECT_EQ(this->store->CountRows(kVacantTable), 0u);
+
+  // The planner is lost with its VM, and its last commit with it. The VM that
+  // drains does not answer the next planner at first.
+  this->StopPlanner();
+  draining = nullptr;
+  this->store->DropKept();
+  const Settings other_settings = this->CommonSettings("agent-2");
+  ReportingAgent other(other_settings, &this->log);
+  other.Report(other.Notice());
+  this->AddNode(other_settings);
+  this->StartPlanner();
+  ASSERT_TRUE(this->RunUntil([&] { return other.Connections() == 1; }));
+  this->RunFor(absl::Milliseconds(500));
+  EXPECT_TRUE(other.Starts().empty());
+  draining = std::make_unique<ReportingAgent>(draining_settings, &this->log);
+  draining->Report(ended);
+  ASSERT_TRUE(this->RunUntil([&] { return draining->Confirmed() == 1; }));
+  EXPECT_TRUE(other.Starts().empty());
+}
+
+}  // namespace
+}  // namespace cuminjunction
--- a/testing/support/store_standin.cc
+++ b/testing/support/store_standin.cc
@@ -120,6 +120,17 @@
     this->Transact(request);
 }
 
+void StoreStandin::DropKept() {
+  absl::MutexLock lock(&this->mutex);
+  this->keep = 0;
+  this->kept.clear();
+}
+
+size_t StoreStandin::KeptWrites() const {
+  absl::MutexLock lock(&this->mutex);
+  return this->kept.size();
+}
+
 int StoreStandin::CountWrites(const std::string& table) const {
   absl::MutexLock lock(&this->mutex);
   const auto found = this->writes.find(table);
--- a/testing/support/store_standin.h
+++ b/testing/support/store_standin.h
@@ -80,6 +80,12 @@
   // Carries out the transactions that were kept, each if its condition holds.
   void CarryOutKept();
 
+  // Drops the transactions that were kept, and keeps no further ones.
+  void DropKept();
+
+  // Number of transactions that are kept.
+  size_t KeptWrites() const;
+
   // Number of transactions that wrote to this table.
   int CountWrites(const std::string& table) const;
 
