Handle a report with a read that was sent after it

Cause: a planner that takes over defers a report of submissions that it does not have until it has read them. A report that arrived while such a read was under way was handled with its answer, although the submission may have been stored after that was read: the planner before, which still plans for a moment, has started it at once. The ends of the unknown submission were dropped and confirmed to the runner. Slow answers of the store make the gap longer.

Change: each deferred message is handled with an answer to a read that was sent after it, in the order of arrival. One whose submissions are known by then does not wait for another read.

The stand-in of the store can delay the answers of its feed.

Cost: one more read, only where reports of unknown submissions overlap.

--- a/daemon/fleet_planner.h
+++ b/daemon/fleet_planner.h
@@ -103,6 +103,13 @@
     absl::Time deadline;
   };
 
+  // A message that waits for a read of the submissions.
+  struct DeferredMessage {
+    FleetMessage message;
+    // The first read that was sent after the message had arrived.
+    uint64_t read = 0;
+  };
+
   struct SentStart {
     // StartRuns::number of the message.
     uint64_t number = 0;
@@ -161,8 +168,15 @@
   // grant may be made to the node, and with it all later messages of that node.
   // Returns false if that is not necessary.
   bool DeferMessage(const std::string& vm, FleetMessage* message);
+  void Defer(const std::string& vm, FleetMessage&& message);
+  // Returns false if the message names a submission that the planner does not
+  // have, so that it has to be read first.
+  bool HasSubmissionsOf(const FleetMessage& message) const;
+  // Reads the submissions for the deferred messages, unless that is under way.
   void ReadUnknownSubmissions();
-  void HandleDeferredMessages();
+  // Handles the messages whose submissions a read has found, if they exist.
+  // Those that have arrived since the read was sent wait for the next one.
+  void HandleDeferredMessages(uint64_t read);
   void HandleNodeMessage(const std::string& vm, FleetMessage&& message);
   void OnStoreRequest(const std::string& vm, const StoreRequest& request);
   // Stores a submission for an entry that the store refuses, unless it is
@@ -266,9 +280,11 @@
   // By VM.
   std::map<std::string, SentStarts> sent_starts;
   // Messages that are deferred until new submissions are read, in order, by VM.
-  std::map<std::string, std::vector<FleetMessage>> deferred;
+  std::map<std::string, std::deque<DeferredMessage>> deferred;
   VacantWorkers vacant;
   bool reading_submissions = false;
+  // Number of reads for deferred messages that were sent.
+  uint64_t submission_reads = 0;
   uint64_t next_query_number = 1;
   std::map<uint64_t, SentQuery> queries;
   // Ended runs to confirm after the next commit, by VM: RunnerInfo::born_ms of
--- a/daemon/fleet_planner_load.cc
+++ b/daemon/fleet_planner_load.cc
@@ -419,7 +419,8 @@
 void FleetPlanner::ReadUnknownSubmissions() {
   if (std::exchange(this->reading_submissions, true))
     return;
-  const auto on_reply = [this, term = this->term](RowsReply&& reply) {
+  const uint64_t read = ++this->submission_reads;
+  const auto on_reply = [this, term = this->term, read](RowsReply&& reply) {
     if (term != this->term)
       return;
     this->reading_submissions = false;
@@ -429,7 +430,7 @@
         this->AddSubmissionRow(row);
     }
     if (!reply.error && may_add) {
-      this->HandleDeferredMessages();
+      this->HandleDeferredMessages(read);
       return;
     }
     if (reply.error == PlatformError::kHistoryGone)
--- a/daemon/fleet_planner_messages.cc
+++ b/daemon/fleet_planner_messages.cc
@@ -24,28 +24,35 @@
 
 bool FleetPlanner::DeferMessage(const std::string& node,
                                 FleetMessage* message) {
-  bool all_known = !this->deferred.contains(node);
   if (this->vacant.Contains(node)) {
     // A worker can become vacant while it is connected: its grants have expired
     // because none could be made.
     this->ClearVacancy(node);
-    this->deferred[node].push_back(std::move(*message));
+    this->Defer(node, std::move(*message));
     return true;
   }
-  if (const auto* notice = std::get_if<WorkerNotice>(message))
-    all_known = all_known && this->scheduler->HasSubmissionsOf(notice->running,
-                                                               notice->ended);
-  else if (const auto* ends_notice = std::get_if<EndedRunsNotice>(message))
-    all_known = all_known &&
-                this->scheduler->HasSubmissionsOf({}, ends_notice->ended_runs);
-  if (all_known)
+  if (!this->deferred.contains(node) && this->HasSubmissionsOf(*message))
     return false;
-  this->deferred[node].push_back(std::move(*message));
+  this->Defer(node, std::move(*message));
   this->ReadUnknownSubmissions();
   return true;
 }
 
-void FleetPlanner::HandleDeferredMessages() {
+bool FleetPlanner::HasSubmissionsOf(const FleetMessage& message) const {
+  if (const auto* notice = std::get_if<WorkerNotice>(&message))
+    return this->scheduler->HasSubmissionsOf(notice->running, notice->ended);
+  if (const auto* ends_notice = std::get_if<EndedRunsNotice>(&message))
+    return this->scheduler->HasSubmissionsOf({}, ends_notice->ended_runs);
+  return true;
+}
+
+void FleetPlanner::Defer(const std::string& node, FleetMessage&& message) {
+  this->deferred[node].push_back(
+      {std::move(message), this->submission_reads + 1});
+}
+
+void FleetPlanner::HandleDeferredMessages(uint64_t read) {
+  bool all_handled = true;
   auto messages = std::exchange(this->deferred, {});
   for (auto& [node, list] : messages) {
     if (this->vacant.Contains(node)) {
@@ -53,9 +60,19 @@
       this->ClearVacancy(node);
       continue;
     }
-    for (FleetMessage& message : list)
+    while (!list.empty() && (list.front().read <= read ||
+                             this->HasSubmissionsOf(list.front().message))) {
+      FleetMessage message = std::move(list.front().message);
+      list.pop_front();
       this->HandleNodeMessage(node, std::move(message));
+    }
+    if (list.empty())
+      continue;
+    this->deferred[node] = std::move(list);
+    all_handled = false;
   }
+  if (!all_handled)
+    this->ReadUnknownSubmissions();
 }
 
 void FleetPlanner::HandleNodeMessage(const std::string& node,
--- a/daemon/testing/fleet_planner_test.cc
+++ b/daemon/testing/fleet_planner_test.cc
@@ -204,5 +204,44 @@
   EXPECT_TRUE(other.Starts().empty());
 }
 
+// Guards against a task that runs again after its end: an agent reported it
+// while the planner was reading the submissions that another agent had named,
+// and the planner took the answer, which was read before, for all that there
+// are. It dropped the end, confirmed it, and started the task later.
+TEST_F(FleetPlannerTest, AReportWaitsForAReadThatWasSentAfterIt) {
+  const std::string known = "00000000000000a1";
+  const std::string newer = "00000000000000a2";
+  const Settings first_settings = this->CommonSettings("agent-1");
+  const Settings second_settings = this->CommonSettings("agent-2");
+  ReportingAgent first(first_settings, &this->log);
+  ReportingAgent second(second_settings, &this->log);
+  this->AddNode(first_settings);
+  this->AddNode(second_settings);
+  this->StartPlanner();
+  ASSERT_TRUE(this->RunUntil(
+      [&] { return first.Connections() == 1 && second.Connections() == 1; }));
+  this->store->SetFeedDelay(absl::Milliseconds(300));
+  this->AddSubmission(known);
+  const int reads = this->store->FeedReads(kSubmissionTable);
+  WorkerNotice report = first.Notice();
+  report.ended = {{1, {known, 0, 0, 0}, 1, RunOutcome::kDone, ""}};
+  first.Report(report);
+  // The planner reads the submissions for the report of the first agent, or
+  // has begun to before.
+  ASSERT_TRUE(this->RunUntil(
+      [&] { return this->store->FeedReads(kSubmissionTable) > reads; }));
+  this->AddSubmission(newer);
+  report = second.Notice();
+  report.ended = {{1, {newer, 0, 0, 0}, 1, RunOutcome::kDone, ""}};
+  second.Report(report);
+  ASSERT_TRUE(this->RunUntil(
+      [&] { return second.Confirmed() == 1 && first.Confirmed() == 1; }));
+  this->store->SetFeedDelay(absl::ZeroDuration());
+  // Several times the interval of the planner's reads for lost notices.
+  this->RunFor(absl::Seconds(4));
+  EXPECT_TRUE(first.Starts().empty());
+  EXPECT_TRUE(second.Starts().empty());
+}
+
 }  // namespace
 }  // namespace cuminjunction
--- a/testing/support/store_standin.cc
+++ b/testing/support/store_standin.cc
@@ -94,6 +94,17 @@
   this->write_delay = delay;
 }
 
+void StoreStandin::SetFeedDelay(absl::Duration delay) {
+  absl::MutexLock lock(&this->mutex);
+  this->feed_delay = delay;
+}
+
+int StoreStandin::FeedReads(const std::string& table) const {
+  absl::MutexLock lock(&this->mutex);
+  const auto found = this->feed_reads.find(table);
+  return found == this->feed_reads.end() ? 0 : found->second;
+}
+
 void StoreStandin::LoseReplies(int count) {
   absl::MutexLock lock(&this->mutex);
   this->lose = count;
@@ -256,6 +267,18 @@
 }
 
 HttpResponse StoreStandin::Feed(const HttpRequest& request) {
+  HttpResponse response = this->ReadFeed(request);
+  absl::Duration delay;
+  {
+    absl::MutexLock lock(&this->mutex);
+    ++this->feed_reads[Query(request, "table")];
+    delay = this->feed_delay;
+  }
+  absl::SleepFor(delay);
+  return response;
+}
+
+HttpResponse StoreStandin::ReadFeed(const HttpRequest& request) {
   const std::string table = Query(request, "table");
   const int64_t after =
       std::strtoll(Query(request, "after").c_str(), nullptr, 10);
--- a/testing/support/store_standin.h
+++ b/testing/support/store_standin.h
@@ -66,6 +66,13 @@
   // Answers transactions from now on only after this time.
   void SetWriteDelay(absl::Duration delay);
 
+  // Sends each answer of the feed from now on only this long after its rows
+  // were read.
+  void SetFeedDelay(absl::Duration delay);
+
+  // Number of calls of the feed whose rows were read.
+  int FeedReads(const std::string& table) const;
+
   // Carries out the next transactions without an answer.
   void LoseReplies(int count);
 
@@ -103,6 +110,8 @@
   bool KeepWrite(const HttpRequest& request);
   HttpResponse Read(const HttpRequest& request);
   HttpResponse Feed(const HttpRequest& request);
+  // Waits for a change and reads the rows of the answer.
+  HttpResponse ReadFeed(const HttpRequest& request);
   nlohmann::json RowJson(const Name& name, const Row& row) const;
   bool HasNewer(const std::string& table, int64_t version) const;
 
@@ -119,6 +128,8 @@
   std::vector<HttpRequest> kept;
   std::map<std::string, int> writes;
   absl::Duration write_delay;
+  absl::Duration feed_delay;
+  std::map<std::string, int> feed_reads;
   // Last, so that it stops first.
   std::unique_ptr<HttpServer> server;
 };
