Give the ports of the fleet's tests out once

Cause: the fixture took a port from the range of outgoing connections and gave it back before its process listened, so that another test or connection could take it. The soak has given out ports below that range, once each, since one of its own runs failed that way.

Change: both use the soak's function, which moves to testing/support.

--- a/daemon/testing/fleet_fixture.h
+++ b/daemon/testing/fleet_fixture.h
@@ -10,10 +10,7 @@
 //     auto entry = FleetEntry::Start(settings, &this->log);
 //     ASSERT_TRUE(this->WaitUntilReady(settings));
 
-#include <arpa/inet.h>
 #include <gtest/gtest.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <functional>
@@ -27,6 +24,7 @@
 #include "daemon/fleet_agent.h"
 #include "daemon/fleet_entry.h"
 #include "testing/support/adviser_standin.h"
+#include "testing/support/free_port.h"
 #include "testing/support/runner_standin.h"
 #include "testing/support/store_standin.h"
 
@@ -45,19 +43,6 @@
     R"("estRuntimeMs":50},{"count":3,"cpu":500,"memMb":10,)"
     R"("estRuntimeMs":50,"after":[0]}]})";
 
-inline uint16_t FreePort() {
-  const int fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address = {};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  EXPECT_EQ(bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)),
-            0);
-  socklen_t size = sizeof(address);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-  close(fd);
-  return ntohs(address.sin_port);
-}
-
 class FleetTest : public testing::Test {
  protected:
   FleetTest() : log("") {
--- a/testing/soak/fleet.cc
+++ b/testing/soak/fleet.cc
@@ -1,20 +1,14 @@
 #include "testing/soak/fleet.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
-#include <random>
-#include <set>
 #include <utility>
 
 #include "base/strings.h"
+#include "testing/support/free_port.h"
 
 namespace cuminjunction {
 namespace {
@@ -29,29 +23,6 @@
 // Long enough that faults strike while tasks run.
 constexpr absl::Duration kRunTime = absl::Milliseconds(600);
 
-// A port on which a process can listen now. It is below the range from which
-// the kernel takes the ports of outgoing connections, so that no connection has
-// it when the process is started again, and is given out once, since its
-// process listens only later.
-uint16_t FreePort() {
-  static std::set<uint16_t> given;
-  static std::mt19937 dice(std::random_device{}());
-  std::uniform_int_distribution<uint16_t> ports(15000, 32000);
-  for (;;) {
-    const uint16_t port = ports(dice);
-    const int fd = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address = {};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    address.sin_port = htons(port);
-    const bool free =
-        bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
-    close(fd);
-    if (free && given.insert(port).second)
-      return port;
-  }
-}
-
 }  // namespace
 
 bool Disturbances::Overlap(absl::Time from, absl::Time to) const {
