State the order in which queued rows are committed

Cause: "Store reported ends no later than the mark of their VM" depends on the order of the tables' names where the rows do not fit into one commit, and nothing said so.

Change: the order is part of PlannerLease::Write(), and the planner checks the names when it is compiled.

Test: PlannerLeaseTest.RowsAreCommittedInTheOrderOfTheirTables (121 rows).

--- a/daemon/fleet_planner_messages.cc
+++ b/daemon/fleet_planner_messages.cc
@@ -1,6 +1,7 @@
 // A planner's handling of the messages of the other processes, and its marks of
 // vacant workers.
 
+#include <string_view>
 #include <utility>
 
 #include "base/time.h"
@@ -10,6 +11,11 @@
 
 namespace {
 
+// A commit takes rows in this order, so that a mark is not stored before the
+// ends that were queued with it.
+static_assert(std::string_view(kProgressTable) < kVacantTable);
+static_assert(std::string_view(kSubmissionTable) < kVacantTable);
+
 // How long a planner tries to store a submission for an entry, which waits no
 // longer than that.
 constexpr absl::Duration kStoreForEntry = absl::Milliseconds(700);
--- a/daemon/planner_lease.h
+++ b/daemon/planner_lease.h
@@ -89,8 +89,9 @@
   void Observe();
 
   // Queues rows to store and rows to remove, and calls `done` once these and
-  // all rows queued before are committed. `done` is not called if the lease is
-  // lost first.
+  // all rows queued before are committed. Rows that do not fit into one commit
+  // are committed in the order of their tables' names. `done` is not called if
+  // the lease is lost first.
   void Write(std::vector<StorePut> puts, std::function<void()> done) {
     this->Write(std::move(puts), {}, std::move(done));
   }
--- a/daemon/testing/planner_lease_test.cc
+++ b/daemon/testing/planner_lease_test.cc
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "base/time.h"
 #include "daemon/node_row.h"
@@ -214,5 +215,29 @@
   EXPECT_TRUE(restarted_after(1000));
 }
 
+// Guards against a mark of a vacant VM that is stored before the ends of its
+// runs: more rows than fit into one commit are committed in the order of their
+// tables.
+TEST_F(PlannerLeaseTest, RowsAreCommittedInTheOrderOfTheirTables) {
+  constexpr int kProgressRows = 120;
+  const auto lease = this->MakeLease("front-1");
+  this->ClaimOnce(lease.get());
+  ASSERT_TRUE(lease->IsHeld());
+  this->standin->KeepNextWrites(kVacantTable, 1);
+  std::vector<StorePut> puts = {{kVacantTable, "agent-1", ""}};
+  for (int i = 0; i < kProgressRows; ++i)
+    puts.push_back({kProgressTable, std::to_string(i), ""});
+  lease->Write(puts, [] {});
+  while (this->standin->KeptWrites() == 0)
+    this->context.run_one_for(std::chrono::milliseconds(100));
+  const size_t before = this->standin->CountRows(kProgressTable);
+  EXPECT_GT(before, 0u);
+  EXPECT_LT(before, static_cast<size_t>(kProgressRows));
+  this->standin->CarryOutKept();
+  EXPECT_EQ(this->standin->CountRows(kProgressTable),
+            static_cast<size_t>(kProgressRows));
+  EXPECT_EQ(this->standin->CountRows(kVacantTable), 1u);
+}
+
 }  // namespace
 }  // namespace cuminjunction
