Expect only agents without a row when the tables were loaded

Seen: after a takeover, work waited for up to 7 s for a VM that had been marked vacant, once its agent started again and wrote its row; and agents were not waited for where the tables were loaded after the inherited grants had expired, so that tasks were started before the reports of their ends, milliseconds later.

Test, failed before (no start within 3 s): FleetPlannerTest.AVmThatWasVacantIsNotWaitedFor. The second fault has no test: what is left between the load and the first tick is 100 ms at most.

--- a/daemon/fleet_planner.h
+++ b/daemon/fleet_planner.h
@@ -149,9 +149,10 @@
                     int64_t version,
                     std::shared_ptr<RowsReply> parts,
                     std::function<void(RowsReply&&)> done);
-  // Connects to a node. If it is an agent that this planner does not know yet,
-  // waits for the tasks that the planner before may have started there.
-  void AddNode(const std::string& vm, const NodeRow& row);
+  // Connects to a node whose row has changed since the tables were loaded. If
+  // it is an agent without a row then, waits for the tasks that the planner
+  // before may have started there.
+  void AddChangedNode(const std::string& vm, const NodeRow& row);
   void ApplyNodeRows(const std::vector<StoreRow>& rows);
   void FollowNodeFeed();
   // Reads submissions and cancellations whose notices were lost.
@@ -171,14 +172,15 @@
   // grant may be made to the node, and with it all later messages of that node.
   // Returns false if that is not necessary.
   bool DeferMessage(const std::string& vm, FleetMessage* message);
+  // Queues a message behind the deferred ones of its node.
   void Defer(const std::string& vm, FleetMessage&& message);
   // Returns false if the message names a submission that the planner does not
   // have, so that it has to be read first.
   bool HasSubmissionsOf(const FleetMessage& message) const;
   // Reads the submissions for the deferred messages, unless that is under way.
   void ReadUnknownSubmissions();
-  // Handles the messages whose submissions a read has found, if they exist.
-  // Those that have arrived since the read was sent wait for the next one.
+  // Handles the messages that had arrived when this read was sent, and those
+  // whose submissions are known. The others wait for the next read.
   void HandleDeferredMessages(uint64_t read);
   void HandleNodeMessage(const std::string& vm, FleetMessage&& message);
   void OnStoreRequest(const std::string& vm, const StoreRequest& request);
@@ -282,7 +284,7 @@
   std::vector<StoreRemove> stale_progress;
   // By VM.
   std::map<std::string, SentStarts> sent_starts;
-  // Messages that are deferred until new submissions are read, in order, by VM.
+  // Messages that wait for a read of the submissions, in order, by VM.
   std::map<std::string, std::deque<DeferredMessage>> deferred;
   VacantWorkers vacant;
   bool reading_submissions = false;
--- a/daemon/fleet_planner_load.cc
+++ b/daemon/fleet_planner_load.cc
@@ -214,7 +214,11 @@
       ++damaged;
       continue;
     }
-    this->AddNode(row.key, node.value());
+    if (node.value().is_agent && this->lease.Epoch() > 1 &&
+        !this->vacant.Contains(row.key))
+      this->scheduler->ExpectWorker(
+          row.key, this->InheritedGrantDeadline(this->long_grants_possible));
+    this->nodes.Add(row.key, node.value());
   }
   this->log->Write(
       LogLine("planner_started")
@@ -233,11 +237,10 @@
   this->SchedulePlan();
 }
 
-void FleetPlanner::AddNode(const std::string& node, const NodeRow& row) {
+void FleetPlanner::AddChangedNode(const std::string& node, const NodeRow& row) {
   const absl::Time grant_deadline =
       this->InheritedGrantDeadline(this->long_grants_possible);
-  if (row.is_agent && this->lease.Epoch() > 1 && !this->vacant.Contains(node) &&
-      this->scheduler->FindWorker(node) == nullptr &&
+  if (row.is_agent && this->lease.Epoch() > 1 && !this->nodes.Contains(node) &&
       grant_deadline > BootClock().Now())
     this->scheduler->ExpectWorker(node, grant_deadline);
   this->nodes.Add(node, row);
@@ -249,7 +252,7 @@
     if (row.deleted)
       continue;
     if (node)
-      this->AddNode(row.key, node.value());
+      this->AddChangedNode(row.key, node.value());
     else
       this->log->Write(LogLine("node_row_damaged", LogLevel::kError)
                            .Add("node", row.key)
--- a/daemon/planner_nodes.h
+++ b/daemon/planner_nodes.h
@@ -64,6 +64,11 @@
   // Sends a ping, with a grant if one may be made, to a node that has answered.
   void PingNow(const std::string& vm);
 
+  // Returns true if the node was added.
+  bool Contains(const std::string& vm) const {
+    return this->nodes.contains(vm);
+  }
+
   // Adds a node or changes its address, and connects to it.
   void Add(const std::string& vm, const NodeRow& row);
 
--- a/daemon/testing/fleet_planner_test.cc
+++ b/daemon/testing/fleet_planner_test.cc
@@ -271,5 +271,33 @@
   EXPECT_TRUE(new_agent.Starts().empty());
 }
 
+// Guards against work that waits for a VM that was marked vacant when the
+// planner took over: its row was stored again, as each process start does, and
+// the planner waited for it until the inherited grants had expired, 7 s later.
+TEST_F(FleetPlannerTest, AVmThatWasVacantIsNotWaitedFor) {
+  const Settings known_settings = this->CommonSettings("agent-1");
+  const Settings vacant_settings = this->CommonSettings("agent-2");
+  ReportingAgent known(known_settings, &this->log);
+  ReportingAgent vacant(vacant_settings, &this->log);
+  known.Report(known.Notice());
+  this->AddNode(known_settings);
+  this->StartPlanner();
+  ASSERT_TRUE(this->RunUntil([&] { return known.Connections() == 1; }));
+  this->StopPlanner();
+  this->AddNode(vacant_settings);
+  this->store->Put(kVacantTable, kFleetPart, vacant_settings.name, "");
+  this->StartPlanner();
+  // The agent answers, and does not know its runs yet.
+  ASSERT_TRUE(this->RunUntil([&] {
+    return vacant.Connections() == 1 &&
+           this->store->CountRows(kVacantTable) == 0;
+  }));
+  this->AddNode(vacant_settings);
+  this->RunFor(absl::Milliseconds(300));
+  this->AddSubmission(kSubmissionId);
+  this->RunFor(absl::Seconds(3));
+  EXPECT_FALSE(known.Starts().empty());
+}
+
 }  // namespace
 }  // namespace cuminjunction
