--- a/submission/scheduler.cc
+++ b/submission/scheduler.cc
@@ -188,6 +188,7 @@
   const auto placed = worker.placed.find(task);
   if (placed != worker.placed.end() && placed->second.run == run)
     Vacate(&worker, task);
+  this->ForgetStaleRun(&worker, task, run);
   if (start_outcome == StartOutcome::kNoCapacity)
     worker.avoid_until =
         std::max(worker.avoid_until, now + kAvoidAfterNoCapacity);
@@ -226,6 +227,7 @@
   const auto placed = worker.placed.find(ended_run.task);
   if (placed != worker.placed.end() && placed->second.run == ended_run.run)
     Vacate(&worker, ended_run.task);
+  this->ForgetStaleRun(&worker, ended_run.task, ended_run.run);
   this->OnStarted(ended_run.task.submission);
   ActiveSubmission* active = this->FindActive(ended_run.task.submission);
   if (active != nullptr)
@@ -258,6 +260,12 @@
     slot->checkpoint = ended_run.checkpoint;
     this->dirty.insert(active->submission.id);
   }
+  // The VM had no grant, so the earlier planner may have started the next run
+  // on a worker that has not reported yet.
+  if (ended_run.outcome == RunOutcome::kLeaseExpired && current &&
+      !active->prior_runs.resolved &&
+      ended_run.run <= active->prior_runs.max_run)
+    slot->resolved = false;
   if (ended_run.outcome != RunOutcome::kFailed)
     return;
   // Only tasks of a limited duration end as done.
