Let runners of the soak drain, leave and come back

Callers of the soak saw no planned end of a runner: its heartbeats always said ready, and it never sent the deregister call. Orders of events around a runner that leaves were not played.

Each agent's runner now says that it drains, serves on for some time, sends the deregister call and ends once that is acknowledged, or some seconds later. Whatever runs there ends with it, which is no crash of a task, so it is no excuse for a submission that is given up.

--- a/testing/soak/clients.cc
+++ b/testing/soak/clients.cc
@@ -63,21 +63,24 @@
 }
 
 void Clients::SendHeartbeat(HttpClient* client, const Node& node) {
+  if (node.runner->HasLeft())
+    return;
   // An agent that is away misses the heartbeat.
   static_cast<void>(client->Send(
       StrCat("http://", ToString(node.heartbeats)),
-      MakeRequest(
-          "POST", StrCat("/v1/instances/", node.runner->Id(), "/heartbeat"),
-          StrCat(R"({"service":"line","state":"ready","zone":"domain",)",
-                 R"("capacity":{"cpu":4000,"memMb":1000,"gpu":0},)",
-                 R"("labels":["a","r1"],"sequence":)", ++this->sequence,
-                 R"(,"born":)", node.runner->BornMs(), "}")),
+      MakeRequest("POST",
+                  StrCat("/v1/instances/", node.runner->Id(), "/heartbeat"),
+                  StrCat(R"({"service":"line","zone":"domain","state":")",
+                         node.runner->HeartbeatState(), R"(",)",
+                         R"("capacity":{"cpu":4000,"memMb":1000,"gpu":0},)",
+                         R"("labels":["a","r1"],"sequence":)", ++this->sequence,
+                         R"(,"born":)", node.runner->BornMs(), "}")),
       absl::Now() + absl::Milliseconds(50)));
 }
 
 void Clients::Beat() {
   HttpClient client;
-  std::map<const Node*, int64_t> born_ms;
+  std::map<const Node*, std::pair<int64_t, std::string>> told;
   absl::Time next = absl::InfinitePast();
   while (!this->stop_beats) {
     const bool all = absl::Now() >= next;
@@ -85,9 +88,9 @@
       next = absl::Now() + absl::Milliseconds(500);
     for (const Node* node : this->fleet->Agents()) {
       node->runner->Settle();
-      if (std::exchange(born_ms[node], node->runner->BornMs()) !=
-              node->runner->BornMs() ||
-          all)
+      const std::pair<int64_t, std::string> present = {
+          node->runner->BornMs(), node->runner->HeartbeatState()};
+      if (std::exchange(told[node], present) != present || all)
         this->SendHeartbeat(&client, *node);
     }
     absl::SleepFor(absl::Milliseconds(10));
--- a/testing/soak/clients.h
+++ b/testing/soak/clients.h
@@ -52,8 +52,8 @@
   // the caller gives up and cancels it.
   void Submit(HttpClient* client, std::mt19937_64* dice, int number);
   void SendHeartbeat(HttpClient* client, const Node& node);
-  // Sends the runners' heartbeats, at once when a runner is born, and lets
-  // their tasks end in time.
+  // Sends the runners' heartbeats, at once when a runner is born or begins to
+  // drain, and lets their tasks end in time.
   void Beat();
 
   Fleet* fleet;
--- /dev/null
+++ b/testing/soak/departures.cc
@@ -0,0 +1,72 @@
+#include "testing/soak/departures.h"
+
+#include "absl/time/clock.h"
+#include "base/http_client.h"
+#include "base/strings.h"
+
+namespace cuminjunction {
+namespace {
+
+// An acknowledgement counts if it arrives within this time.
+constexpr absl::Duration kAckLimit = absl::Seconds(1);
+
+// Tells the agent that this runner leaves. True if that is acknowledged.
+bool Deregister(const Node& node, const std::string& id) {
+  HttpClient client;
+  HttpRequest request;
+  request.method = "POST";
+  request.path = StrCat("/v1/instances/", id, "/deregister");
+  request.body = "{}";
+  const auto answer = client.Send(StrCat("http://", ToString(node.heartbeats)),
+                                  request, absl::Now() + kAckLimit);
+  return answer && answer.value().status / 100 == 2;
+}
+
+}  // namespace
+
+void Departures::Start() {
+  for (Node* node : this->fleet->Agents()) {
+    this->threads.emplace_back(
+        [this, node, seed = this->random()] { this->Run(node, seed); });
+  }
+}
+
+void Departures::Stop() {
+  this->stop = true;
+  for (std::thread& thread : this->threads)
+    thread.join();
+}
+
+void Departures::Run(Node* node, uint64_t seed) {
+  std::mt19937_64 dice(seed);
+  const auto between = [&dice](double least_s, double most_s) {
+    return absl::Seconds(
+        std::uniform_real_distribution<double>(least_s, most_s)(dice));
+  };
+  RunnerStandin* runner = node->runner.get();
+  for (;;) {
+    const absl::Time drain_at = absl::Now() + between(0.5, 12);
+    const absl::Duration service = between(0.05, 4);
+    const absl::Duration patience = between(1, 5);
+    const absl::Duration pause = between(0.1, 3);
+    while (!this->stop && absl::Now() < drain_at)
+      absl::SleepFor(absl::Milliseconds(20));
+    if (this->stop)
+      return;
+    const int64_t born_ms = runner->BornMs();
+    const std::string id = runner->Id();
+    runner->Drain();
+    absl::SleepFor(service);
+    // It may have crashed meanwhile.
+    if (runner->BornMs() != born_ms || runner->HeartbeatState() != "draining")
+      continue;
+    const absl::Time end = absl::Now() + patience;
+    while (!Deregister(*node, id) && absl::Now() < end &&
+           runner->BornMs() == born_ms)
+      absl::SleepFor(absl::Milliseconds(100));
+    runner->Leave(born_ms, pause);
+    ++this->count;
+  }
+}
+
+}  // namespace cuminjunction
--- a/testing/soak_main.cc
+++ b/testing/soak_main.cc
@@ -27,6 +27,7 @@
 #include "base/http_client.h"
 #include "base/strings.h"
 #include "testing/soak/clients.h"
+#include "testing/soak/departures.h"
 #include "testing/soak/faults.h"
 #include "testing/soak/fleet.h"
 #include "testing/soak/record.h"
@@ -61,7 +62,8 @@
         random(options.seed),
         fleet(&this->record, options.seed, options.kept_ids),
         clients(&this->fleet, &this->record, options.seed),
-        faults(&this->fleet, &this->record, &this->random, options.seed) {}
+        faults(&this->fleet, &this->record, &this->random, options.seed),
+        departures(&this->fleet, options.seed) {}
 
   bool Run();
 
@@ -82,6 +84,7 @@
   Fleet fleet;
   Clients clients;
   Faults faults;
+  Departures departures;
 };
 
 bool Soak::AreOrdersPending() {
@@ -156,11 +159,13 @@
   }
   this->clients.Start();
   absl::SleepFor(absl::Seconds(2));
+  this->departures.Start();
   const absl::Time end = absl::Now() + absl::Seconds(this->options.seconds);
   while (absl::Now() < end) {
     this->faults.Step();
     absl::SleepFor(absl::Milliseconds(10));
   }
+  this->departures.Stop();
   this->faults.HealAll();
   this->clients.StopCalls();
   this->AwaitEnd();
@@ -177,6 +182,7 @@
       {"soak", "fleet"},
       {"seed", this->options.seed},
       {"faults", this->faults.Count()},
+      {"departures", this->departures.Count()},
       {"submitted", this->clients.Submitted()},
       {"accepted", this->record.AcceptedCount()},
       {"refused", this->record.Refused().size()},
--- a/testing/support/runner_standin.cc
+++ b/testing/support/runner_standin.cc
@@ -391,22 +391,54 @@
   return this->born_ms;
 }
 
+void RunnerStandin::Drain() {
+  absl::MutexLock lock(&this->mutex);
+  this->draining = !this->IsDown();
+}
+
+std::string RunnerStandin::HeartbeatState() const {
+  absl::MutexLock lock(&this->mutex);
+  return this->draining ? "draining" : "ready";
+}
+
+void RunnerStandin::Leave(int64_t born_ms_of_leaving, absl::Duration pause) {
+  absl::MutexLock lock(&this->mutex);
+  this->SettleLocked();
+  if (this->IsDown() || this->born_ms != born_ms_of_leaving)
+    return;
+  this->left = true;
+  for (const auto& [task, run] : this->running)
+    this->ledger->End(task);
+  this->EndIncarnation(SteadyClock().Now() + pause);
+}
+
+bool RunnerStandin::HasLeft() const {
+  absl::MutexLock lock(&this->mutex);
+  return this->left;
+}
+
+void RunnerStandin::EndIncarnation(absl::Time back) {
+  this->back_at = back;
+  this->running.clear();
+  this->highest.clear();
+  this->ended.clear();
+  this->next_end = 1;
+  this->fence = 0;
+  this->lease_until_ms = 0;
+  this->draining = false;
+}
+
 void RunnerStandin::CrashIfDue(absl::Time now) {
   if (now >= this->crash_at) {
     this->crash_at = absl::InfiniteFuture();
-    this->back_at = now + kTimeDown;
     ++this->crashes;
     for (const auto& [task, run] : this->running)
       this->ledger->Crash(task);
-    this->running.clear();
-    this->highest.clear();
-    this->ended.clear();
-    this->next_end = 1;
-    this->fence = 0;
-    this->lease_until_ms = 0;
+    this->EndIncarnation(now + kTimeDown);
   }
   if (now >= this->back_at) {
     this->back_at = absl::InfiniteFuture();
+    this->left = false;
     this->born_ms = absl::ToUnixMillis(absl::Now());
     if (!this->keep_id)
       this->id = NewId();
--- a/testing/support/runner_standin.h
+++ b/testing/support/runner_standin.h
@@ -118,6 +118,19 @@
   // Crashes now.
   void Crash();
 
+  // Lets its heartbeats say that it drains, which HeartbeatState() tells. It
+  // serves until Leave(). A crash ends that.
+  void Drain();
+  std::string HeartbeatState() const;
+
+  // Ends as planned if this is still the present incarnation: all that runs
+  // there ends with it, which is no crash of a task. The next incarnation comes
+  // after this pause.
+  void Leave(int64_t born_ms_of_leaving, absl::Duration pause);
+
+  // True from a planned end to the next incarnation. It sends nothing then.
+  bool HasLeft() const;
+
   // Number of crashes so far.
   int Crashes() const;
 
@@ -192,6 +205,8 @@
   // Ends what is due, and everything once the lease has passed.
   void SettleLocked();
   void Finish(const std::string& task, const std::string& how);
+  // Forgets what ran, the fence and the lease, and comes back at this time.
+  void EndIncarnation(absl::Time back);
   // Crashes, and comes back, when that is due.
   void CrashIfDue(absl::Time now);
   bool IsDown() const { return this->back_at != absl::InfiniteFuture(); }
@@ -224,6 +239,8 @@
   absl::Time crash_at = absl::InfiniteFuture();
   absl::Time back_at = absl::InfiniteFuture();
   int crashes = 0;
+  bool draining = false;
+  bool left = false;
   int stops = 0;
   int holds = 0;
   int64_t next_end = 1;
