Lose acknowledgements of runners that leave in the soak

PROTOCOL: a runner whose deregister call is not acknowledged ends some seconds later. The soak's runners did so only while their agent was away, when the agent had not received the call either. In a third of the departures the call is now received and the acknowledgement is lost, as where the agent is frozen for longer than the runner waits. Runners also drain more often.

--- a/testing/soak/departures.cc
+++ b/testing/soak/departures.cc
@@ -10,6 +10,10 @@
 // An acknowledgement counts if it arrives within this time.
 constexpr absl::Duration kAckLimit = absl::Seconds(1);
 
+// In one of so many departures the acknowledgements do not reach the runner, as
+// where the agent is frozen for longer than that.
+constexpr int kDeparturesPerLoss = 3;
+
 // Tells the agent that this runner leaves. True if that is acknowledged.
 bool Deregister(const Node& node, const std::string& id) {
   HttpClient client;
@@ -45,10 +49,11 @@
   };
   RunnerStandin* runner = node->runner.get();
   for (;;) {
-    const absl::Time drain_at = absl::Now() + between(0.5, 12);
+    const absl::Time drain_at = absl::Now() + between(0.3, 5);
     const absl::Duration service = between(0.05, 4);
     const absl::Duration patience = between(1, 5);
     const absl::Duration pause = between(0.1, 3);
+    const bool loses_acks = dice() % kDeparturesPerLoss == 0;
     while (!this->stop && absl::Now() < drain_at)
       absl::SleepFor(absl::Milliseconds(20));
     if (this->stop)
@@ -61,7 +66,7 @@
     if (runner->BornMs() != born_ms || runner->HeartbeatState() != "draining")
       continue;
     const absl::Time end = absl::Now() + patience;
-    while (!Deregister(*node, id) && absl::Now() < end &&
+    while ((!Deregister(*node, id) || loses_acks) && absl::Now() < end &&
            runner->BornMs() == born_ms)
       absl::SleepFor(absl::Milliseconds(100));
     runner->Leave(born_ms, pause);
