Disturb takeovers and add agents in the soak

The soak ended entries and disturbed links at independent times, and its agents were all there from the start. A takeover while another process alone reaches the store badly, or while an agent registers for the first time, was rarely or never played.

A series of its own now ends an entry by SIGKILL or SIGTERM, disturbs the store link of one process within the next 3 s, and adds one of the later agents (--later-agents, 2 by default). It has a random sequence of its own, so the other faults of a seed stay the same.

--- a/testing/soak/clients.cc
+++ b/testing/soak/clients.cc
@@ -86,7 +86,7 @@
     const bool all = absl::Now() >= next;
     if (all)
       next = absl::Now() + absl::Milliseconds(500);
-    for (const Node* node : this->fleet->Agents()) {
+    for (const Node* node : this->fleet->StartedAgents()) {
       node->runner->Settle();
       const std::pair<int64_t, std::string> present = {
           node->runner->BornMs(), node->runner->HeartbeatState()};
--- a/testing/soak/departures.h
+++ b/testing/soak/departures.h
@@ -27,7 +27,8 @@
   // The fleet must outlive this.
   Departures(Fleet* fleet, uint64_t seed) : fleet(fleet), random(seed + 4) {}
 
-  // Each agent's runner drains again and again from now on.
+  // The runner of each agent that is there from the start drains again and
+  // again from now on.
   void Start();
 
   // Returns once each runner that drains has left.
--- a/testing/soak/faults.cc
+++ b/testing/soak/faults.cc
@@ -15,6 +15,9 @@
 // How long the platform waits before it starts a process again.
 constexpr absl::Duration kRestartPause = absl::Milliseconds(500);
 
+// A planned stop ends by itself; an entry takes some seconds for it.
+constexpr absl::Duration kStopTime = absl::Seconds(7);
+
 // The pauses between faults are those of a fleet of this size or less.
 constexpr size_t kSmallFleet = 9;
 
@@ -33,6 +36,8 @@
     this->next_late = absl::Now() + this->Scaled(this->DelayOrders());
   if (absl::Now() >= this->next_late_write)
     this->next_late_write = absl::Now() + this->DelayWrites();
+  if (absl::Now() >= this->next_takeover)
+    this->next_takeover = absl::Now() + this->DisturbTakeover();
 }
 
 absl::Duration Faults::Scaled(absl::Duration pause) const {
@@ -64,15 +69,14 @@
 // to listen when a connection of another one has taken its port meanwhile; any
 // other end is a fault.
 void Faults::RestartEnded() {
-  for (const auto& node : this->fleet->Nodes()) {
+  for (Node* node : this->fleet->StartedNodes()) {
     if (node->busy_until > absl::Now() || !node->process.HasEnded())
       continue;
     this->record->Break(StrCat(node->name, " ended by itself with code ",
                                node->process.ExitCode()));
     node->busy_until = absl::Now() + kRestartPause;
     node->disturbances.Add(absl::Now(), node->busy_until);
-    this->After(kRestartPause,
-                [this, node = node.get()] { this->fleet->StartNode(node); });
+    this->After(kRestartPause, [this, node] { this->fleet->StartNode(node); });
   }
 }
 
@@ -107,19 +111,10 @@
   absl::Duration length = this->Between(0.2, 2);
   switch (this->Pick(3)) {
     case 0:
-      node->process.Signal(SIGKILL);
-      node->process.Wait();
-      this->After(length, [this, node] { this->fleet->StartNode(node); });
+      this->Kill(node, length);
       break;
     case 1:
-      // A planned stop ends by itself; an entry takes some seconds for it.
-      node->process.Signal(SIGTERM);
-      length = absl::Seconds(7);
-      this->After(length, [this, node] {
-        if (!node->process.Wait())
-          this->record->Break(StrCat(node->name, " does not stop"));
-        this->fleet->StartNode(node);
-      });
+      length = this->Terminate(node);
       break;
     default:
       node->process.Signal(SIGSTOP);
@@ -127,10 +122,66 @@
       this->After(length, [node] { node->process.Signal(SIGCONT); });
       break;
   }
+  this->SetBusy(node, length);
+}
+
+void Faults::Kill(Node* node, absl::Duration pause) {
+  node->process.Signal(SIGKILL);
+  node->process.Wait();
+  this->After(pause, [this, node] { this->fleet->StartNode(node); });
+}
+
+absl::Duration Faults::Terminate(Node* node) {
+  node->process.Signal(SIGTERM);
+  this->After(kStopTime, [this, node] {
+    if (!node->process.Wait())
+      this->record->Break(StrCat(node->name, " does not stop"));
+    this->fleet->StartNode(node);
+  });
+  return kStopTime;
+}
+
+void Faults::SetBusy(Node* node, absl::Duration length) {
   node->busy_until = absl::Now() + length + absl::Milliseconds(200);
   node->disturbances.Add(absl::Now(), node->busy_until);
 }
 
+absl::Duration Faults::DisturbTakeover() {
+  const auto between = [this](double least, double most) {
+    return absl::Seconds(std::uniform_real_distribution<double>(
+        least, most)(this->takeover_random));
+  };
+  const auto pick = [this](size_t size) {
+    return std::uniform_int_distribution<size_t>(
+        0, size - 1)(this->takeover_random);
+  };
+  Node* entry = this->fleet->Entries()[pick(this->fleet->Entries().size())];
+  const bool planned = pick(2) == 0;
+  const absl::Duration away = between(0.2, 3);
+  if (entry->busy_until <= absl::Now()) {
+    if (!planned)
+      this->Kill(entry, away);
+    this->SetBusy(entry, planned ? this->Terminate(entry) : away);
+  }
+  Node* other = this->fleet->Nodes()[pick(this->fleet->Nodes().size())].get();
+  static constexpr LinkFault link_faults[] = {
+      LinkFault::kDelayed, LinkFault::kCutToServer, LinkFault::kCutToClient,
+      LinkFault::kSilent, LinkFault::kReset};
+  const LinkFault fault = link_faults[pick(std::size(link_faults))];
+  const absl::Duration begin = between(0, 3);
+  const absl::Duration length = between(0.2, 3);
+  FaultProxy* link = other->store_link.get();
+  this->After(begin, [link, fault] { link->SetFault(fault); });
+  this->After(begin + length, [link] { link->SetFault(LinkFault::kNone); });
+  other->disturbances.Add(absl::Now() + begin, absl::Now() + begin + length);
+  const absl::Duration add_after = between(0, 3);
+  if (this->added < this->fleet->LaterAgents().size()) {
+    Node* agent = this->fleet->LaterAgents()[this->added++].get();
+    this->After(add_after, [this, agent] { this->fleet->StartNode(agent); });
+  }
+  return between(1, 6);
+}
+
 void Faults::DisturbLink(Node* node, FaultProxy* link) {
   static constexpr LinkFault link_faults[] = {
       LinkFault::kDelayed, LinkFault::kCutToServer, LinkFault::kCutToClient,
--- a/testing/soak/faults.h
+++ b/testing/soak/faults.h
@@ -31,7 +31,8 @@
         random(random),
         crash_random(seed + 1),
         late_random(seed + 2),
-        write_random(seed + 3) {}
+        write_random(seed + 3),
+        takeover_random(seed + 5) {}
 
   // Begins and ends what is due.
   void Step();
@@ -42,12 +43,20 @@
   // Starts processes again that have ended by themselves.
   void RestartEnded();
 
-  // Number of faults without crashes of runners, late orders and late writes.
+  // Number of faults without crashes of runners, late orders, late writes and
+  // takeovers.
   int Count() const { return this->count; }
 
  private:
   void Inject();
   void DisturbProcess(Node* node);
+  // Kills the process of a node, and starts it again after this pause.
+  void Kill(Node* node, absl::Duration pause);
+  // Stops the process of a node as the platform does, and starts it again.
+  // Returns the time until then.
+  absl::Duration Terminate(Node* node);
+  // Takes note that the process of a node is disturbed for this time.
+  void SetBusy(Node* node, absl::Duration length);
   void DisturbLink(Node* node, FaultProxy* link);
   void DisturbStore();
   // Crashes the runner of one agent. Returns the pause until the next crash.
@@ -58,6 +67,10 @@
   // Lets the store carry out the next transactions that store submissions late.
   // Returns the pause until the next such series.
   absl::Duration DelayWrites();
+  // Ends the process of one entry, which may plan, while the store can be
+  // reached badly by another entry or an agent alone, and an agent is added.
+  // Returns the pause until the next such series.
+  absl::Duration DisturbTakeover();
   void After(absl::Duration pause, std::function<void()> action);
   void RunDue();
   absl::Duration Between(double least_s, double most_s) {
@@ -80,12 +93,17 @@
   std::mt19937_64 late_random;
   // Of late transactions of the store.
   std::mt19937_64 write_random;
+  // Of takeovers, which come beside the schedule of other faults.
+  std::mt19937_64 takeover_random;
+  // Number of agents that have been added.
+  size_t added = 0;
   // Ends of faults, by the time when they are due.
   std::multimap<absl::Time, std::function<void()>> due;
   absl::Time next = absl::InfinitePast();
   absl::Time next_crash = absl::InfinitePast();
   absl::Time next_late = absl::InfinitePast();
   absl::Time next_late_write = absl::InfinitePast();
+  absl::Time next_takeover = absl::InfinitePast();
   int count = 0;
 };
 
--- a/testing/soak/fleet.cc
+++ b/testing/soak/fleet.cc
@@ -34,7 +34,7 @@
 Fleet::Fleet(Record* record, uint64_t seed, double kept_ids)
     : record(record), random(seed + 3), kept_ids(kept_ids), links("links") {}
 
-bool Fleet::Start(int entry_count, int agent_count) {
+bool Fleet::Start(int entry_count, int agent_count, int later_agent_count) {
   std::string pattern =
       (std::filesystem::temp_directory_path() / "cuminjunction-soak-XXXXXX")
           .string();
@@ -47,39 +47,62 @@
     return false;
   this->store = std::move(started.value());
   this->store->Put("op", "", "config", kPolicy);
-  for (int index = 0; index < entry_count + agent_count; ++index) {
-    if (!this->AddNode(index, index >= entry_count))
+  const int first_count = entry_count + agent_count;
+  for (int index = 0; index < first_count + later_agent_count; ++index) {
+    std::unique_ptr<Node> node = this->MakeNode(index, index >= entry_count);
+    if (!node)
       return false;
+    if (index >= first_count) {
+      this->later_agents.push_back(std::move(node));
+      continue;
+    }
+    this->StartNode(node.get());
+    (node->agent ? this->agents : this->entries).push_back(node.get());
+    this->nodes.push_back(std::move(node));
   }
   return true;
 }
 
-bool Fleet::AddNode(int index, bool agent) {
+std::vector<Node*> Fleet::StartedNodes() const {
+  std::vector<Node*> started;
+  for (const auto* group : {&this->nodes, &this->later_agents}) {
+    for (const auto& node : *group) {
+      if (node->started)
+        started.push_back(node.get());
+    }
+  }
+  return started;
+}
+
+std::vector<Node*> Fleet::StartedAgents() const {
+  std::vector<Node*> started = this->StartedNodes();
+  std::erase_if(started, [](const Node* node) { return !node->agent; });
+  return started;
+}
+
+std::unique_ptr<Node> Fleet::MakeNode(int index, bool agent) {
   auto node = std::make_unique<Node>();
   node->agent = agent;
   node->name = StrCat(agent ? "agent-" : "entry-", index);
   auto link = FaultProxy::Start(&this->links, this->store->Address());
   if (!link)
-    return false;
+    return nullptr;
   node->store_link = std::move(link.value());
   if (agent) {
     auto runner = RunnerStandin::Start(&this->ledger, kRunTime);
     if (!runner)
-      return false;
+      return nullptr;
     node->runner = std::move(runner.value());
     if (std::uniform_real_distribution<double>(0, 1)(this->random) <
         this->kept_ids)
       node->runner->KeepId();
     auto runner_link = FaultProxy::Start(&this->links, node->runner->Address());
     if (!runner_link)
-      return false;
+      return nullptr;
     node->runner_link = std::move(runner_link.value());
   }
   this->WriteSettings(node.get());
-  this->StartNode(node.get());
-  (agent ? this->agents : this->entries).push_back(node.get());
-  this->nodes.push_back(std::move(node));
-  return true;
+  return node;
 }
 
 void Fleet::WriteSettings(Node* node) {
@@ -108,10 +131,11 @@
   if (!node->process.Start({ProgramFolder() + "/cuminjunctiond", "--settings",
                             node->settings_file}))
     this->record->Break(StrCat(node->name, " can't be started"));
+  node->started = true;
 }
 
 void Fleet::End() {
-  for (const auto& node : this->nodes) {
+  for (Node* node : this->StartedNodes()) {
     node->process.Signal(SIGKILL);
     node->process.Wait();
   }
--- a/testing/soak/fleet.h
+++ b/testing/soak/fleet.h
@@ -11,6 +11,7 @@
 //   ...
 //   fleet.End();
 
+#include <atomic>
 #include <cstdint>
 #include <memory>
 #include <random>
@@ -56,6 +57,8 @@
   std::unique_ptr<FaultProxy> runner_link;
   std::unique_ptr<RunnerStandin> runner;
   ChildProcess process;
+  // The process has been started at least once.
+  std::atomic<bool> started = false;
   // A fault of the process itself lasts until then.
   absl::Time busy_until = absl::InfinitePast();
   Disturbances disturbances;
@@ -67,9 +70,9 @@
   // ids across crashes, of which there is this share.
   Fleet(Record* record, uint64_t seed, double kept_ids);
 
-  // Starts the stand-ins and the processes. False when a stand-in can't be
-  // started.
-  bool Start(int entry_count, int agent_count);
+  // Starts the stand-ins and the processes, but for those of the agents that
+  // are added later. False when a stand-in can't be started.
+  bool Start(int entry_count, int agent_count, int later_agent_count);
 
   // Starts the process of a node, which must not run.
   void StartNode(Node* node);
@@ -80,19 +83,30 @@
   // The folder of settings and logs.
   const std::string& Folder() const { return this->folder; }
 
-  // All nodes; the entries come first.
+  // The nodes of which the fleet consists from the start; the entries come
+  // first.
   const std::vector<std::unique_ptr<Node>>& Nodes() const {
     return this->nodes;
   }
   const std::vector<Node*>& Entries() const { return this->entries; }
   const std::vector<Node*>& Agents() const { return this->agents; }
+  // Agents that are added while the fleet runs.
+  const std::vector<std::unique_ptr<Node>>& LaterAgents() const {
+    return this->later_agents;
+  }
+  // All nodes or agents whose process has been started. Callable from any
+  // thread.
+  std::vector<Node*> StartedNodes() const;
+  std::vector<Node*> StartedAgents() const;
   StoreStandin* Store() const { return this->store.get(); }
   // The times in which the store refused calls or lost replies.
   Disturbances* StoreDisturbances() { return &this->store_disturbances; }
   RunLedger* Ledger() { return &this->ledger; }
 
  private:
-  bool AddNode(int index, bool agent);
+  // A node with its links and settings, without a process. Null when a stand-in
+  // can't be started.
+  std::unique_ptr<Node> MakeNode(int index, bool agent);
   void WriteSettings(Node* node);
 
   Record* record;
@@ -106,6 +120,7 @@
   std::vector<std::unique_ptr<Node>> nodes;
   std::vector<Node*> entries;
   std::vector<Node*> agents;
+  std::vector<std::unique_ptr<Node>> later_agents;
 };
 
 }  // namespace cuminjunction
--- a/testing/soak_main.cc
+++ b/testing/soak_main.cc
@@ -52,6 +52,7 @@
   double seconds = 20;
   int entries = 3;
   int agents = 6;
+  int later_agents = 2;
   double kept_ids = 0;
 };
 
@@ -88,7 +89,7 @@
 };
 
 bool Soak::AreOrdersPending() {
-  const std::vector<Node*>& agents = this->fleet.Agents();
+  const std::vector<Node*> agents = this->fleet.StartedAgents();
   return this->fleet.Ledger()->Running() > 0 ||
          std::any_of(agents.begin(), agents.end(), [](const Node* node) {
            return node->runner->KeptCalls() > 0;
@@ -115,7 +116,7 @@
   const absl::Time from = start.at - kContact;
   if (start.late || this->fleet.StoreDisturbances()->Overlap(from, start.at))
     return false;
-  const std::vector<Node*>& agents = this->fleet.Agents();
+  const std::vector<Node*> agents = this->fleet.StartedAgents();
   return std::none_of(agents.begin(), agents.end(), [&](const Node* node) {
     return node->runner.get() == start.runner &&
            node->disturbances.Overlap(from, start.at);
@@ -153,7 +154,8 @@
 }
 
 bool Soak::Run() {
-  if (!this->fleet.Start(this->options.entries, this->options.agents)) {
+  if (!this->fleet.Start(this->options.entries, this->options.agents,
+                         this->options.later_agents)) {
     std::cerr << "soak: the stand-ins can't be started\n";
     return false;
   }
@@ -207,6 +209,8 @@
       "seconds", po::value(&options.seconds), "how long faults are injected")(
       "entries", po::value(&options.entries), "number of entries")(
       "agents", po::value(&options.agents), "number of agents")(
+      "later-agents", po::value(&options.later_agents),
+      "number of agents that are added while faults are injected")(
       "kept-ids", po::value(&options.kept_ids),
       "share of runners that keep their ids across crashes");
   po::variables_map values;
