--- a/testing/soak/fleet.cc
+++ b/testing/soak/fleet.cc
@@ -20,9 +20,6 @@
     R"("services":[{"name":"line","enforcesCapacity":true}],)"
     R"("limits":{"maxBodyBytes":65536}})";
 
-// Long enough that faults strike while tasks run.
-constexpr absl::Duration kRunTime = absl::Milliseconds(600);
-
 }  // namespace
 
 bool Disturbances::Overlap(absl::Time from, absl::Time to) const {
@@ -31,8 +28,15 @@
       [&](const Span& span) { return span.from <= to && from <= span.to; });
 }
 
-Fleet::Fleet(Record* record, uint64_t seed, double kept_ids)
-    : record(record), random(seed + 3), kept_ids(kept_ids), links("links") {}
+Fleet::Fleet(Record* record,
+             uint64_t seed,
+             double kept_ids,
+             absl::Duration run_time)
+    : record(record),
+      random(seed + 3),
+      kept_ids(kept_ids),
+      run_time(run_time),
+      links("links") {}
 
 bool Fleet::Start(int entry_count, int agent_count, int later_agent_count) {
   std::string pattern =
@@ -89,7 +93,7 @@
     return nullptr;
   node->store_link = std::move(link.value());
   if (agent) {
-    auto runner = RunnerStandin::Start(&this->ledger, kRunTime);
+    auto runner = RunnerStandin::Start(&this->ledger, this->run_time);
     if (!runner)
       return nullptr;
     node->runner = std::move(runner.value());
--- a/testing/soak/fleet.h
+++ b/testing/soak/fleet.h
@@ -5,7 +5,7 @@
 // faults are injected into.
 //
 //   Record record;
-//   Fleet fleet(&record, seed, 0);
+//   Fleet fleet(&record, seed, 0, absl::Milliseconds(600));
 //   if (!fleet.Start(3, 6))
 //     return false;
 //   ...
@@ -67,8 +67,12 @@
 class Fleet {
  public:
   // `record` must outlive the fleet. The seed draws the runners that keep their
-  // ids across crashes, of which there is this share.
-  Fleet(Record* record, uint64_t seed, double kept_ids);
+  // ids across crashes, of which there is this share. Each task runs for
+  // `run_time`.
+  Fleet(Record* record,
+        uint64_t seed,
+        double kept_ids,
+        absl::Duration run_time);
 
   // Starts the stand-ins and the processes, but for those of the agents that
   // are added later. False when a stand-in can't be started.
@@ -112,6 +116,7 @@
   Record* record;
   std::mt19937_64 random;
   double kept_ids;
+  absl::Duration run_time;
   std::string folder;
   EventThread links;
   std::unique_ptr<StoreStandin> store;
--- a/testing/soak_main.cc
+++ b/testing/soak_main.cc
@@ -54,6 +54,8 @@
   int agents = 6;
   int later_agents = 2;
   double kept_ids = 0;
+  // Long enough that faults strike while tasks run.
+  int run_ms = 600;
 };
 
 class Soak {
@@ -61,7 +63,10 @@
   explicit Soak(const Options& options)
       : options(options),
         random(options.seed),
-        fleet(&this->record, options.seed, options.kept_ids),
+        fleet(&this->record,
+              options.seed,
+              options.kept_ids,
+              absl::Milliseconds(options.run_ms)),
         clients(&this->fleet, &this->record, options.seed),
         faults(&this->fleet, &this->record, &this->random, options.seed),
         departures(&this->fleet, options.seed) {}
@@ -211,6 +216,7 @@
       "agents", po::value(&options.agents), "number of agents")(
       "later-agents", po::value(&options.later_agents),
       "number of agents that are added while faults are injected")(
+      "run-ms", po::value(&options.run_ms), "how long each task runs")(
       "kept-ids", po::value(&options.kept_ids),
       "share of runners that keep their ids across crashes");
   po::variables_map values;
