Lose answers of runners that outlive their deregister call

PROTOCOL: a runner whose deregister call is not acknowledged ends some seconds later, and any call may stay without an answer. The soak lost the acknowledgements only, and most of its runners drained longer than their tasks ran, so an agent that took the call for the end of the runner was hardly noticed: its log had runner_lost with runs while the runner lived on, and no check failed.

Five answers to calls that read the runner's lists are now lost, 600 ms after the first deregister call, where the acknowledgements are lost too. Half of the runners drain for at most 0.5 s.

--- a/testing/soak/departures.cc
+++ b/testing/soak/departures.cc
@@ -14,6 +14,11 @@
 // where the agent is frozen for longer than that.
 constexpr int kDeparturesPerLoss = 3;
 
+// Some answers to calls that read its lists are lost, too, once the agent has
+// had the call for this time.
+constexpr absl::Duration kTimeToLostAnswers = absl::Milliseconds(600);
+constexpr int kLostAnswers = 5;
+
 // Tells the agent that this runner leaves. True if that is acknowledged.
 bool Deregister(const Node& node, const std::string& id) {
   HttpClient client;
@@ -50,7 +55,7 @@
   RunnerStandin* runner = node->runner.get();
   for (;;) {
     const absl::Time drain_at = absl::Now() + between(0.3, 5);
-    const absl::Duration service = between(0.05, 4);
+    const absl::Duration service = between(0.05, dice() % 2 == 0 ? 0.5 : 4);
     const absl::Duration patience = between(1, 5);
     const absl::Duration pause = between(0.1, 3);
     const bool loses_acks = dice() % kDeparturesPerLoss == 0;
@@ -66,9 +71,16 @@
     if (runner->BornMs() != born_ms || runner->HeartbeatState() != "draining")
       continue;
     const absl::Time end = absl::Now() + patience;
+    const absl::Time lose_at = absl::Now() + kTimeToLostAnswers;
+    bool lost_answers = false;
     while ((!Deregister(*node, id) || loses_acks) && absl::Now() < end &&
-           runner->BornMs() == born_ms)
+           runner->BornMs() == born_ms) {
+      if (loses_acks && !lost_answers && absl::Now() >= lose_at) {
+        lost_answers = true;
+        runner->LoseHoldReplies(kLostAnswers);
+      }
       absl::SleepFor(absl::Milliseconds(100));
+    }
     runner->Leave(born_ms, pause);
     ++this->count;
   }
