--- a/testing/soak/fleet.cc
+++ b/testing/soak/fleet.cc
@@ -20,9 +20,6 @@
     R"("services":[{"name":"line","enforcesCapacity":true}],)"
     R"("limits":{"maxBodyBytes":65536}})";
 
-// Long enough that faults strike while tasks run.
-constexpr absl::Duration kRunTime = absl::Milliseconds(600);
-
 }  // namespace
 
 bool Disturbances::Overlap(absl::Time from, absl::Time to) const {
@@ -31,10 +28,17 @@
       [&](const Span& span) { return span.from <= to && from <= span.to; });
 }
 
-Fleet::Fleet(Record* record, uint64_t seed, double kept_ids)
-    : record(record), random(seed + 3), kept_ids(kept_ids), links("links") {}
+Fleet::Fleet(Record* record,
+             uint64_t seed,
+             double kept_ids,
+             absl::Duration run_time)
+    : record(record),
+      random(seed + 3),
+      kept_ids(kept_ids),
+      run_time(run_time),
+      links("links") {}
 
-bool Fleet::Start(int entry_count, int agent_count) {
+bool Fleet::Start(int entry_count, int agent_count, int later_agent_count) {
   std::string pattern =
       (std::filesystem::temp_directory_path() / "cuminjunction-soak-XXXXXX")
           .string();
@@ -47,39 +51,62 @@
     return false;
   this->store = std::move(started.value());
   this->store->Put("op", "", "config", kPolicy);
-  for (int index = 0; index < entry_count + agent_count; ++index) {
-    if (!this->AddNode(index, index >= entry_count))
+  const int first_count = entry_count + agent_count;
+  for (int index = 0; index < first_count + later_agent_count; ++index) {
+    std::unique_ptr<Node> node = this->MakeNode(index, index >= entry_count);
+    if (!node)
       return false;
+    if (index >= first_count) {
+      this->later_agents.push_back(std::move(node));
+      continue;
+    }
+    this->StartNode(node.get());
+    (node->agent ? this->agents : this->entries).push_back(node.get());
+    this->nodes.push_back(std::move(node));
   }
   return true;
 }
 
-bool Fleet::AddNode(int index, bool agent) {
+std::vector<Node*> Fleet::StartedNodes() const {
+  std::vector<Node*> started;
+  for (const auto* group : {&this->nodes, &this->later_agents}) {
+    for (const auto& node : *group) {
+      if (node->started)
+        started.push_back(node.get());
+    }
+  }
+  return started;
+}
+
+std::vector<Node*> Fleet::StartedAgents() const {
+  std::vector<Node*> started = this->StartedNodes();
+  std::erase_if(started, [](const Node* node) { return !node->agent; });
+  return started;
+}
+
+std::unique_ptr<Node> Fleet::MakeNode(int index, bool agent) {
   auto node = std::make_unique<Node>();
   node->agent = agent;
   node->name = StrCat(agent ? "agent-" : "entry-", index);
   auto link = FaultProxy::Start(&this->links, this->store->Address());
   if (!link)
-    return false;
+    return nullptr;
   node->store_link = std::move(link.value());
   if (agent) {
-    auto runner = RunnerStandin::Start(&this->ledger, kRunTime);
+    auto runner = RunnerStandin::Start(&this->ledger, this->run_time);
     if (!runner)
-      return false;
+      return nullptr;
     node->runner = std::move(runner.value());
     if (std::uniform_real_distribution<double>(0, 1)(this->random) <
         this->kept_ids)
       node->runner->KeepId();
     auto runner_link = FaultProxy::Start(&this->links, node->runner->Address());
     if (!runner_link)
-      return false;
+      return nullptr;
     node->runner_link = std::move(runner_link.value());
   }
   this->WriteSettings(node.get());
-  this->StartNode(node.get());
-  (agent ? this->agents : this->entries).push_back(node.get());
-  this->nodes.push_back(std::move(node));
-  return true;
+  return node;
 }
 
 void Fleet::WriteSettings(Node* node) {
@@ -108,10 +135,11 @@
   if (!node->process.Start({ProgramFolder() + "/cuminjunctiond", "--settings",
                             node->settings_file}))
     this->record->Break(StrCat(node->name, " can't be started"));
+  node->started = true;
 }
 
 void Fleet::End() {
-  for (const auto& node : this->nodes) {
+  for (Node* node : this->StartedNodes()) {
     node->process.Signal(SIGKILL);
     node->process.Wait();
   }
--- a/testing/soak_main.cc
+++ b/testing/soak_main.cc
@@ -27,6 +27,7 @@
 #include "base/http_client.h"
 #include "base/strings.h"
 #include "testing/soak/clients.h"
+#include "testing/soak/departures.h"
 #include "testing/soak/faults.h"
 #include "testing/soak/fleet.h"
 #include "testing/soak/record.h"
@@ -51,7 +52,10 @@
   double seconds = 20;
   int entries = 3;
   int agents = 6;
+  int later_agents = 2;
   double kept_ids = 0;
+  // Long enough that faults strike while tasks run.
+  int run_ms = 600;
 };
 
 class Soak {
@@ -59,9 +63,13 @@
   explicit Soak(const Options& options)
       : options(options),
         random(options.seed),
-        fleet(&this->record, options.seed, options.kept_ids),
+        fleet(&this->record,
+              options.seed,
+              options.kept_ids,
+              absl::Milliseconds(options.run_ms)),
         clients(&this->fleet, &this->record, options.seed),
-        faults(&this->fleet, &this->record, &this->random, options.seed) {}
+        faults(&this->fleet, &this->record, &this->random, options.seed),
+        departures(&this->fleet, options.seed) {}
 
   bool Run();
 
@@ -82,10 +90,11 @@
   Fleet fleet;
   Clients clients;
   Faults faults;
+  Departures departures;
 };
 
 bool Soak::AreOrdersPending() {
-  const std::vector<Node*>& agents = this->fleet.Agents();
+  const std::vector<Node*> agents = this->fleet.StartedAgents();
   return this->fleet.Ledger()->Running() > 0 ||
          std::any_of(agents.begin(), agents.end(), [](const Node* node) {
            return node->runner->KeptCalls() > 0;
@@ -112,7 +121,7 @@
   const absl::Time from = start.at - kContact;
   if (start.late || this->fleet.StoreDisturbances()->Overlap(from, start.at))
     return false;
-  const std::vector<Node*>& agents = this->fleet.Agents();
+  const std::vector<Node*> agents = this->fleet.StartedAgents();
   return std::none_of(agents.begin(), agents.end(), [&](const Node* node) {
     return node->runner.get() == start.runner &&
            node->disturbances.Overlap(from, start.at);
@@ -150,17 +159,20 @@
 }
 
 bool Soak::Run() {
-  if (!this->fleet.Start(this->options.entries, this->options.agents)) {
+  if (!this->fleet.Start(this->options.entries, this->options.agents,
+                         this->options.later_agents)) {
     std::cerr << "soak: the stand-ins can't be started\n";
     return false;
   }
   this->clients.Start();
   absl::SleepFor(absl::Seconds(2));
+  this->departures.Start();
   const absl::Time end = absl::Now() + absl::Seconds(this->options.seconds);
   while (absl::Now() < end) {
     this->faults.Step();
     absl::SleepFor(absl::Milliseconds(10));
   }
+  this->departures.Stop();
   this->faults.HealAll();
   this->clients.StopCalls();
   this->AwaitEnd();
@@ -177,6 +189,7 @@
       {"soak", "fleet"},
       {"seed", this->options.seed},
       {"faults", this->faults.Count()},
+      {"departures", this->departures.Count()},
       {"submitted", this->clients.Submitted()},
       {"accepted", this->record.AcceptedCount()},
       {"refused", this->record.Refused().size()},
@@ -201,6 +214,9 @@
       "seconds", po::value(&options.seconds), "how long faults are injected")(
       "entries", po::value(&options.entries), "number of entries")(
       "agents", po::value(&options.agents), "number of agents")(
+      "later-agents", po::value(&options.later_agents),
+      "number of agents that are added while faults are injected")(
+      "run-ms", po::value(&options.run_ms), "how long each task runs")(
       "kept-ids", po::value(&options.kept_ids),
       "share of runners that keep their ids across crashes");
   po::variables_map values;
