--- a/review/6/case.py
+++ b/review/6/case.py
@@ -26,7 +26,7 @@
 PAUSE_S = 4.0
 WATCH_S = 15
 OUTAGES = int(os.environ.get("OUTAGES", "6"))
-CALLERS = int(os.environ.get("CALLERS", "40"))
+CALLERS = int(os.environ.get("CALLERS", "30"))
 
 
 class RefusingStore(p.Store):
@@ -71,6 +71,7 @@
         try:
             reader, writer = await asyncio.open_connection(host, int(port))
         except OSError:
+            self.fleet.record.write(f"caller: {method} {submission} at {entry.name}: no connection")
             return
         try:
             writer.write(f"{method} /check/{submission} HTTP/1.1\r\nHost: words.example\r\n"
@@ -79,6 +80,7 @@
             head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 4)
             lines = head.decode("latin-1").split("\r\n")
             self.answers += 1
+            self.fleet.record.write(f"caller: {method} {submission} at {entry.name}: {lines[0][9:12]}")
             if method == "POST" and lines[0].startswith("HTTP/1.1 200"):
                 self.accepted.append(submission)
             if not lines[0].startswith("HTTP/1.1 "):
@@ -91,7 +93,7 @@
                 self.fleet.record.write(f"caller: {method} /check/{submission} at {entry.name}: the answer is not "
                                         f"HTTP: {(head + rest)[:400]!r}")
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
-            pass
+            self.fleet.record.write(f"caller: {method} {submission} at {entry.name}: no answer")
         finally:
             writer.close()
 
--- a/review/lib-2/platform2.py
+++ b/review/lib-2/platform2.py
@@ -51,7 +51,6 @@
 
     def write(self, text):
         self.file.write(f"{self.now():8.3f} {text}\n")
-        self.file.flush()
 
 
 class HttpServer(asyncio.Protocol):
@@ -687,5 +686,6 @@
     finally:
         fleet.stop()
     fleet.record.write({0: "the rule held", 1: "the rule was BROKEN", 2: "the case could not run"}[result])
+    fleet.record.file.close()
     print(open(os.path.join(folder, "record.txt"), encoding="utf-8").read().splitlines()[-1])
     sys.exit(result)
