--- a/review/6/case.py
+++ b/review/6/case.py
@@ -24,13 +24,13 @@
 # `platform_down`, how reset: 4.5 s.
 DOWN_S = 4.5
 PAUSE_S = 4.0
-WATCH_S = 15
-OUTAGES = int(os.environ.get("OUTAGES", "6"))
-CALLERS = int(os.environ.get("CALLERS", "30"))
+WATCH_S = 5
+OUTAGES = int(os.environ.get("OUTAGES", "9"))
+CALLERS = int(os.environ.get("CALLERS", "40"))
 
 
 class RefusingStore(p.Store):
-    """While it is down, it resets connections: those that are open, and each new one when a call arrives."""
+    """While it is down, it resets connections: those that are open, and the others when a call arrives."""
 
     down = False
 
@@ -128,9 +128,9 @@
     watch = asyncio.ensure_future(restart_ended(fleet, ended))
     for _ in range(OUTAGES):
         await asyncio.sleep(PAUSE_S)
-        fleet.store.down = p.TROUBLE
         if p.TROUBLE:
             fleet.record.write("store: resets all connections from now on")
+            fleet.store.down = True
             fleet.store.reset()
         await asyncio.sleep(DOWN_S)
         fleet.store.down = False
--- a/review/lib-2/platform2.py
+++ b/review/lib-2/platform2.py
@@ -105,7 +105,6 @@
 
 class Server:
     """A listening HTTP server that can be closed, with all of its connections, and opened again."""
-
     def __init__(self, host, port):
         self.host = host
         self.port = port
