--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 # to see that they can run.
 set -euo pipefail
 cd "$(dirname "$0")"
-PYTHONDONTWRITEBYTECODE=1 python3 - lib-2/platform2.py 6/case.py 7/case.py 8/case.py 9/case.py <<'PY'
+PYTHONDONTWRITEBYTECODE=1 python3 - lib-2/platform2.py 6/case.py 7/case.py 8/case.py 10/case.py trials-2/*.py <<'PY'
 import sys
 for name in sys.argv[1:]:
     with open(name, encoding="utf-8") as file:
