Log the row version behind each acknowledgement

Change: `submission_accepted` of an entry and the new line `submission_stored` of a planner name the version of the row, `planner_started` the version of the tables, `lease_lost` both sequence numbers.

--- a/daemon/fleet_entry.h
+++ b/daemon/fleet_entry.h
@@ -80,7 +80,10 @@
                      CommitReply&& reply);
   void MarkUnresolved(const std::string& id);
   void OnStoreUnavailable(const std::shared_ptr<PendingSubmission>& pending);
-  void AcceptSubmission(const std::shared_ptr<PendingSubmission>& pending);
+  // `row_version` is the version of the submission's row; 0 if the planner has
+  // stored it, which logs the version.
+  void AcceptSubmission(const std::shared_ptr<PendingSubmission>& pending,
+                        int64_t row_version);
   void OnStateQuery(HttpExchange* exchange, const std::string& id);
   void OnCancel(HttpExchange* exchange, const std::string& id);
   void SendCancel(HttpExchange* exchange,
--- a/daemon/fleet_entry_submit.cc
+++ b/daemon/fleet_entry_submit.cc
@@ -92,7 +92,7 @@
   // another entry that received the same submission, has stored it.
   const bool conflict = reply.error == PlatformError::kConflict;
   if (!reply.error || (conflict && has_row(kSubmissionTable))) {
-    this->AcceptSubmission(pending);
+    this->AcceptSubmission(pending, RowVersion(reply, kSubmissionTable));
     return;
   }
   // The cancellation keeps all attempts from being stored.
@@ -130,7 +130,7 @@
   const std::string& id = pending->submission.id;
   const auto done = [this, pending](bool stored) {
     if (stored) {
-      this->AcceptSubmission(pending);
+      this->AcceptSubmission(pending, 0);
       return;
     }
     this->MarkUnresolved(pending->submission.id);
@@ -173,13 +173,15 @@
 }
 
 void FleetEntry::AcceptSubmission(
-    const std::shared_ptr<PendingSubmission>& pending) {
+    const std::shared_ptr<PendingSubmission>& pending,
+    int64_t row_version) {
   const Submission& submission = pending->submission;
   this->metrics.GetCounter("submissions_accepted_total").Add();
   this->log->Write(LogLine("submission_accepted")
                        .Add("submission", submission.id)
                        .Add("queue", submission.queue)
                        .Add("steps", submission.steps.size())
+                       .Add("row_version", row_version)
                        .Add("epoch", this->port->Epoch())
                        .Add("planner_connected", this->port->IsConnected()));
   this->states.emplace(submission.id, SubmissionState::kQueued);
--- a/daemon/fleet_planner_load.cc
+++ b/daemon/fleet_planner_load.cc
@@ -224,6 +224,7 @@
       LogLine("planner_started")
           .Add("epoch", this->lease.Epoch())
           .Add("submissions", rows_of(kSubmissionTable).size())
+          .Add("version", this->feed_versions[kSubmissionTable])
           .Add("live", this->scheduler->LiveCount())
           .Add("workers_to_hear", this->scheduler->UnresolvedCount())
           .Add("damaged_rows", damaged)
--- a/daemon/fleet_planner_messages.cc
+++ b/daemon/fleet_planner_messages.cc
@@ -198,6 +198,12 @@
       this->AddSubmissionRow(row);
   }
   if (stored) {
+    this->log->Write(
+        LogLine("submission_stored")
+            .Add("submission", request.submission.id)
+            .Add("entry", node)
+            .Add("row_version", RowVersion(reply, kSubmissionTable))
+            .Add("commits_failing", !may_add));
     this->nodes.Send(node, StoreDone{this->lease.Epoch(), request.number});
     this->SchedulePlan();
     return;
--- a/daemon/planner_lease.cc
+++ b/daemon/planner_lease.cc
@@ -315,8 +315,12 @@
     if (found) {
       this->log->Write(LogLine("lease_lost", LogLevel::kWarning)
                            .Add("epoch", this->row.epoch)
+                           .Add("sequence", this->row.sequence)
+                           .Add("expected_version", this->version)
                            .Add("holder", found->first.holder)
-                           .Add("holder_epoch", found->first.epoch));
+                           .Add("holder_epoch", found->first.epoch)
+                           .Add("holder_sequence", found->first.sequence)
+                           .Add("row_version", found->second));
       this->Drop();
       this->handlers.on_lease_lost();
       return;
--- a/daemon/testing/fleet_log_test.cc
+++ b/daemon/testing/fleet_log_test.cc
@@ -61,6 +61,23 @@
   std::unique_ptr<Log> file;
 };
 
+// Guards against an acknowledgement that can't be traced to the transaction
+// behind it: its line names the version of the row.
+TEST_F(FleetLogTest, AnAcceptedSubmissionIsLoggedWithItsRowVersion) {
+  const Settings settings = this->EntrySettings("entry-1");
+  auto entry = FleetEntry::Start(settings, this->file.get());
+  ASSERT_TRUE(entry);
+  ASSERT_TRUE(this->WaitUntilReady(settings));
+  for (const char* id : {"00000000000000e1", "00000000000000e2"}) {
+    ASSERT_TRUE(this->Submit(settings, id, kOneTask));
+    const auto lines =
+        this->Lines({{"event", "submission_accepted"}, {"submission", id}});
+    ASSERT_EQ(lines.size(), 1u);
+    EXPECT_EQ(lines.front()["row_version"],
+              this->store->RowVersion("submission", id));
+  }
+}
+
 // Guards against refusals that can't be traced: one without a log line, or
 // whose line lacks the id, the reason or the version of the deciding
 // configuration.
--- a/testing/support/store_standin.cc
+++ b/testing/support/store_standin.cc
@@ -64,6 +64,13 @@
   return count;
 }
 
+int64_t StoreStandin::RowVersion(const std::string& table,
+                                 const std::string& key) const {
+  const absl::MutexLock lock(&this->mutex);
+  const auto found = this->rows.find({table, "fleet", key});
+  return found == this->rows.end() ? 0 : found->second.version;
+}
+
 size_t StoreStandin::CountBytes(const std::string& table) const {
   absl::MutexLock lock(&this->mutex);
   size_t bytes = 0;
--- a/testing/support/store_standin.h
+++ b/testing/support/store_standin.h
@@ -47,6 +47,9 @@
   // Number of rows in a table.
   size_t CountRows(const std::string& table) const;
 
+  // Version of a row of the system's part; 0 if there is none.
+  int64_t RowVersion(const std::string& table, const std::string& key) const;
+
   // Bytes of the values of a table.
   size_t CountBytes(const std::string& table) const;
 
