Leave the sockets of HTTP calls to libcurl alone

What callers saw: while the store reset connections, callers of an entry read calls of the store in place of their answers, entries ended by themselves (libmicrohttpd aborts when a descriptor of its own is gone), and answers of the store reached other calls: submissions were acknowledged that were not stored, and others cancelled that nobody had cancelled.

Change: libcurl is the only owner of its sockets. SocketPoller watches them through an epoll set of their own, from which the kernel removes a socket when it is closed, whoever closes it, so that no number outlives its socket. The callbacks for closed sockets and the map are gone.

--- a/base/http_caller.cc
+++ b/base/http_caller.cc
@@ -1,8 +1,8 @@
 #include "base/http_caller.h"
 
 #include <strings.h>
+#include <sys/epoll.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -51,6 +51,19 @@
   return text;
 }
 
+// The events of epoll_wait() in the form of libcurl. libcurl finds out about an
+// error or an end by reading or writing.
+int SelectEvents(uint32_t events) {
+  int selected = 0;
+  if ((events & (EPOLLIN | EPOLLHUP | EPOLLRDHUP)) != 0)
+    selected |= CURL_CSELECT_IN;
+  if ((events & EPOLLOUT) != 0)
+    selected |= CURL_CSELECT_OUT;
+  if ((events & EPOLLERR) != 0)
+    selected |= CURL_CSELECT_ERR;
+  return selected;
+}
+
 CallResult ResultOf(CURLcode code) {
   switch (code) {
     case CURLE_OK:
@@ -97,19 +110,6 @@
   }
 };
 
-// A socket of libcurl. It stays registered with the event loop for as long as
-// libcurl keeps it open, also while it is idle.
-struct HttpCaller::Socket {
-  Socket(boost::asio::io_context* context, curl_socket_t fd)
-      : descriptor(*context, fd) {}
-
-  boost::asio::posix::stream_descriptor descriptor;
-  // What libcurl wants to know about: CURL_POLL_IN, CURL_POLL_OUT or both.
-  int wanted = 0;
-  // The waits that are pending.
-  int waiting = 0;
-};
-
 HttpCaller::HttpCaller(boost::asio::io_context* context,
                        const HttpCallerOptions& options,
                        Done done)
@@ -117,7 +117,10 @@
       options(options),
       done(std::move(done)),
       base_url(StrCat("http://", options.host, ":", options.port)),
-      timer(*context) {
+      timer(*context),
+      poller(context, [this](int socket, uint32_t events) {
+        this->Act(socket, SelectEvents(events));
+      }) {
   InitializeCurl();
   this->multi = curl_multi_init();
   curl_multi_setopt(this->multi, CURLMOPT_SOCKETFUNCTION, &OnSocket);
@@ -235,9 +238,6 @@
                      static_cast<long>(std::max<int64_t>(
                          1, absl::ToInt64Milliseconds(request.timeout))));
   curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &OnOpen);
-  curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
-  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &OnClose);
-  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnRequest);
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer);
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
@@ -364,41 +364,33 @@
   });
 }
 
-void HttpCaller::Wait(const std::shared_ptr<Socket>& socket) {
-  this->WaitFor(socket, CURL_POLL_IN);
-  this->WaitFor(socket, CURL_POLL_OUT);
-}
-
-void HttpCaller::WaitFor(const std::shared_ptr<Socket>& socket, int event) {
-  if ((socket->wanted & event) == 0 || (socket->waiting & event) != 0)
-    return;
-  socket->waiting |= event;
-  const auto type = event == CURL_POLL_IN
-                        ? boost::asio::posix::stream_descriptor::wait_read
-                        : boost::asio::posix::stream_descriptor::wait_write;
-  socket->descriptor.async_wait(type, [this, socket,
-                                       event](std::error_code error) {
-    socket->waiting &= ~event;
-    if (error || !socket->descriptor.is_open() || (socket->wanted & event) == 0)
+void HttpCaller::FailLater(CURL* easy) {
+  Transfer* failed = nullptr;
+  curl_easy_getinfo(easy, CURLINFO_PRIVATE, &failed);
+  boost::asio::post(*this->context, [this, call = failed->call,
+                                     alive = std::weak_ptr(this->alive)] {
+    if (alive.expired())
       return;
-    this->Act(socket->descriptor.native_handle(),
-              event == CURL_POLL_IN ? CURL_CSELECT_IN : CURL_CSELECT_OUT);
-    if (socket->descriptor.is_open())
-      this->Wait(socket);
+    const auto found = this->transfers.find(call);
+    if (found != this->transfers.end())
+      this->Finish(found->second->easy, CURLE_RECV_ERROR);
   });
 }
 
-int HttpCaller::OnSocket(CURL* /*easy*/,
+int HttpCaller::OnSocket(CURL* easy,
                          curl_socket_t fd,
                          int what,
                          void* self,
                          void* /*socket*/) {
   auto* caller = static_cast<HttpCaller*>(self);
-  const auto found = caller->sockets.find(fd);
-  if (found == caller->sockets.end() || caller->ending)
+  if (what == CURL_POLL_REMOVE) {
+    caller->poller.Unwatch(fd);
     return 0;
-  found->second->wanted = what == CURL_POLL_REMOVE ? 0 : what;
-  caller->Wait(found->second);
+  }
+  const uint32_t events = ((what & CURL_POLL_IN) != 0 ? EPOLLIN : 0u) |
+                          ((what & CURL_POLL_OUT) != 0 ? EPOLLOUT : 0u);
+  if (caller->poller.Watch(fd, events) && !caller->ending)
+    caller->FailLater(easy);
   return 0;
 }
 
@@ -409,29 +401,13 @@
   return 0;
 }
 
-curl_socket_t HttpCaller::OnOpen(void* self,
+curl_socket_t HttpCaller::OnOpen(void* /*self*/,
                                  curlsocktype /*purpose*/,
                                  curl_sockaddr* address) {
-  auto* caller = static_cast<HttpCaller*>(self);
   const int fd =
       socket(address->family, address->socktype | SOCK_CLOEXEC | SOCK_NONBLOCK,
              address->protocol);
-  if (fd < 0)
-    return CURL_SOCKET_BAD;
-  caller->sockets[fd] = std::make_shared<Socket>(caller->context, fd);
-  return fd;
-}
-
-int HttpCaller::OnClose(void* self, curl_socket_t fd) {
-  auto* caller = static_cast<HttpCaller*>(self);
-  const auto found = caller->sockets.find(fd);
-  if (found == caller->sockets.end())
-    return close(fd);
-  const std::shared_ptr<Socket> socket = found->second;
-  caller->sockets.erase(found);
-  boost::system::error_code ignored;
-  socket->descriptor.close(ignored);
-  return 0;
+  return fd < 0 ? CURL_SOCKET_BAD : fd;
 }
 
 int HttpCaller::OnRequest(void* transfer,
--- a/base/http_caller.h
+++ b/base/http_caller.h
@@ -8,6 +8,9 @@
 //                         [](uint64_t call, HttpAnswer&& answer) { ... });
 //   caller.Start(7, {"GET", "/x", headers, body, true, deadline_after});
 //
+// The sockets belong to libcurl alone, which opens and closes them. Not every
+// version reports each socket that it closes.
+//
 // Only whole answers count as answered. A connection that could not be opened
 // is told apart from one that broke, since the first means for certain that
 // the upstream did not see the request.
@@ -15,7 +18,6 @@
 #include <curl/curl.h>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/posix/stream_descriptor.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
@@ -26,6 +28,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 #include "base/http_message.h"
+#include "base/socket_poller.h"
 
 namespace cuminjunction {
 
@@ -101,7 +104,6 @@
 
  private:
   struct Transfer;
-  struct Socket;
 
   std::unique_ptr<Transfer> TakeTransfer();
   void Prepare(Transfer* transfer);
@@ -114,8 +116,8 @@
   void WatchProgress(uint64_t call);
   void CheckProgress(uint64_t call);
   void ArmTimer(int64_t timeout_ms);
-  void Wait(const std::shared_ptr<Socket>& socket);
-  void WaitFor(const std::shared_ptr<Socket>& socket, int event);
+  // Ends the call, of which a socket can't be watched, in a later message.
+  void FailLater(CURL* easy);
 
   static int OnSocket(CURL* easy,
                       curl_socket_t fd,
@@ -126,7 +128,6 @@
   static curl_socket_t OnOpen(void* self,
                               curlsocktype purpose,
                               curl_sockaddr* address);
-  static int OnClose(void* self, curl_socket_t fd);
   static int OnRequest(void* transfer,
                        char* to,
                        char* from,
@@ -141,6 +142,7 @@
   std::string base_url;
   CURLM* multi;
   boost::asio::steady_timer timer;
+  SocketPoller poller;
   bool act_posted = false;
   // Ends with this object, for messages that were posted before.
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
@@ -148,7 +150,6 @@
   bool ending = false;
   absl::flat_hash_map<uint64_t, std::unique_ptr<Transfer>> transfers;
   std::vector<std::unique_ptr<Transfer>> idle;
-  absl::flat_hash_map<curl_socket_t, std::shared_ptr<Socket>> sockets;
 };
 
 }  // namespace cuminjunction
