Match answers to commits of the planner by epoch and sequence

What callers would see: work that was acknowledged and is gone after a takeover, and tasks that run twice.

Cause: Drop() ends the lease, not the call under way. If the lease is claimed again within the timeout of that call (500 ms), the late answer was taken for that to the commit of the new term: its callbacks ran, so that ends were confirmed and submissions shown as completed that were not stored, and the next commit expected the wrong version of the lease row.

Change: an answer, and the timer of a repetition, count only for the commit with the epoch and sequence number for which they were sent.

The test before the fix, in 5 of 5 runs:

*rows_when_done Which is: 1 expected 2 [ FAILED ] PlannerLeaseTest.AnAnswerOfAnEarlierTermAcknowledgesNoLaterCommit

Measured: PlannerLeaseTest passes (5 of 5 runs).

--- a/daemon/planner_lease.cc
+++ b/daemon/planner_lease.cc
@@ -290,15 +290,25 @@
   this->commit.puts.push_back({kLeaseTable, kLeaseKey, Encode(this->row)});
   this->last_sent = BootClock().Now();
   this->commit_sent = this->last_sent;
-  this->store->Commit(this->commit, kCallTimeout,
-                      [this, sent = this->last_sent](CommitReply&& reply) {
-                        this->OnCommitReply(std::move(reply), sent);
-                      });
+  this->SendCopy();
+}
+
+void PlannerLease::SendCopy() {
+  this->store->Commit(
+      this->commit, kCallTimeout,
+      [this, epoch = this->row.epoch, sequence = this->row.sequence,
+       sent = BootClock().Now()](CommitReply&& reply) {
+        if (this->IsInFlight(epoch, sequence))
+          this->OnCommitReply(std::move(reply), sent);
+      });
+}
+
+bool PlannerLease::IsInFlight(uint64_t epoch, uint64_t sequence) const {
+  return this->held && this->in_flight && this->row.epoch == epoch &&
+         this->row.sequence == sequence;
 }
 
 void PlannerLease::OnCommitReply(CommitReply&& reply, absl::Time sent) {
-  if (!this->held)
-    return;
   if (!reply.error) {
     this->OnCommitted(reply.version, sent);
     return;
@@ -335,17 +345,14 @@
 
 void PlannerLease::ScheduleRetry() {
   this->timer.expires_after(kRetryDelay);
-  this->timer.async_wait([this](std::error_code error) {
-    if (error || !this->held)
-      return;
-    // Sends the commit unchanged: since it expects the row's old version, at
-    // most one copy is carried out.
-    const absl::Time sent = BootClock().Now();
-    this->store->Commit(this->commit, kCallTimeout,
-                        [this, sent](CommitReply&& reply) {
-                          this->OnCommitReply(std::move(reply), sent);
-                        });
-  });
+  this->timer.async_wait(
+      [this, epoch = this->row.epoch,
+       sequence = this->row.sequence](std::error_code error) {
+        // Sends the commit unchanged: since it expects the row's old version,
+        // at most one copy is carried out.
+        if (!error && this->IsInFlight(epoch, sequence))
+          this->SendCopy();
+      });
 }
 
 void PlannerLease::OnCommitted(int64_t committed_version, absl::Time sent) {
--- a/daemon/planner_lease.h
+++ b/daemon/planner_lease.h
@@ -152,6 +152,11 @@
   void SendClaim();
   void ScheduleCommit();
   void SendCommit();
+  // Sends the commit under way, or sends it again.
+  void SendCopy();
+  // True if the commit with this lease row is under way. Drop() does not end
+  // calls, so that the answer to an earlier commit may arrive later.
+  bool IsInFlight(uint64_t epoch, uint64_t sequence) const;
   void OnCommitReply(CommitReply&& reply, absl::Time sent);
   void OnCommitted(int64_t version, absl::Time sent);
   void ScheduleRetry();
--- a/daemon/testing/planner_lease_test.cc
+++ b/daemon/testing/planner_lease_test.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -201,6 +202,36 @@
   EXPECT_LT(lease->LastCommitTime(), first_claimed);
 }
 
+// Guards against rows that count as stored and are not: the answer to a commit
+// arrives after the lease was dropped and claimed again, and was taken for that
+// to the commit under way.
+TEST_F(PlannerLeaseTest, AnAnswerOfAnEarlierTermAcknowledgesNoLaterCommit) {
+  const auto lease = this->MakeLease("front-1");
+  this->ClaimOnce(lease.get());
+  ASSERT_TRUE(lease->IsHeld());
+  this->standin->SetReplyDelay(absl::Milliseconds(400));
+  lease->Write({{kProgressTable, "first", ""}}, [] {});
+  this->context.restart();
+  while (this->standin->CountRows(kProgressTable) == 0)
+    this->context.run_one_for(std::chrono::milliseconds(5));
+  this->standin->SetReplyDelay(absl::ZeroDuration());
+  lease->Drop();
+  this->ClaimOnce(lease.get());
+  ASSERT_TRUE(lease->IsHeld());
+  this->standin->KeepNextWrites(kProgressTable, 1000);
+  std::optional<size_t> rows_when_done;
+  lease->Write({{kProgressTable, "second", ""}}, [&] {
+    rows_when_done = this->standin->CountRows(kProgressTable);
+  });
+  this->context.restart();
+  // The late answer arrives.
+  this->context.run_for(std::chrono::milliseconds(600));
+  this->standin->DropKept();
+  while (!rows_when_done)
+    this->context.run_one_for(std::chrono::milliseconds(100));
+  EXPECT_EQ(*rows_when_done, 2u);
+}
+
 // Guards against waiting too briefly for silent workers: the planner before the
 // last one may have granted for kLeasePeriod after the last one's claim, so a
 // restarted process must not count grants from its own start if its predecessor
--- a/testing/support/store_standin.cc
+++ b/testing/support/store_standin.cc
@@ -101,6 +101,11 @@
   this->write_delay = delay;
 }
 
+void StoreStandin::SetReplyDelay(absl::Duration delay) {
+  absl::MutexLock lock(&this->mutex);
+  this->reply_delay = delay;
+}
+
 void StoreStandin::SetFeedDelay(absl::Duration delay) {
   absl::MutexLock lock(&this->mutex);
   this->feed_delay = delay;
@@ -172,17 +177,21 @@
 
 HttpResponse StoreStandin::Handle(const HttpRequest& request) {
   absl::Duration delay;
+  absl::Duration delay_of_reply;
   {
     absl::MutexLock lock(&this->mutex);
     if (this->refusing)
       return Answer(503, json::object());
     delay = this->write_delay;
+    delay_of_reply = this->reply_delay;
   }
   if (request.path == "/v1/rows-tx") {
     absl::SleepFor(delay);
     if (this->KeepWrite(request))
       return Answer(0, json::object());
-    return this->Transact(request);
+    HttpResponse response = this->Transact(request);
+    absl::SleepFor(delay_of_reply);
+    return response;
   }
   if (request.path == "/v1/rows-get")
     return this->Read(request);
--- a/testing/support/store_standin.h
+++ b/testing/support/store_standin.h
@@ -69,6 +69,10 @@
   // Answers transactions from now on only after this time.
   void SetWriteDelay(absl::Duration delay);
 
+  // Sends each answer to a transaction from now on only this long after it was
+  // carried out.
+  void SetReplyDelay(absl::Duration delay);
+
   // Sends each answer of the feed from now on only this long after its rows
   // were read.
   void SetFeedDelay(absl::Duration delay);
@@ -131,6 +135,7 @@
   std::vector<HttpRequest> kept;
   std::map<std::string, int> writes;
   absl::Duration write_delay;
+  absl::Duration reply_delay;
   absl::Duration feed_delay;
   std::map<std::string, int> feed_reads;
   // Last, so that it stops first.
