Number an entry's requests to the planner apart from its earlier processes'

What callers would see: a submission is acknowledged and never runs, since it is not stored.

Cause: an entry that the store refuses has the planner store its submissions and cancellations under numbers that began at 1 in each process. The planner answers to the VM by name. If the entry's process is replaced while the planner waits for the store (a cancellation waits for as long as commits fail), the answer for the old process was taken by the new one for its own request with that number.

Change: the first number of a process is random.

The test before the fix, in 3 of 3 runs, with a scripted planner that answers the first process's request after the second has sent one:

second.answer.get().status Which is: 200 expected 504 [ FAILED ] ForeignAnswersTest.AnAnswerToAnEarlierProcessStoresNothing

Measured: the test passes in 3 of 3 runs.

--- a/daemon/fleet_entry.cc
+++ b/daemon/fleet_entry.cc
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <chrono>
+#include <limits>
 #include <thread>
 #include <utility>
 
+#include "absl/random/random.h"
 #include "base/strings.h"
 #include "base/time.h"
 #include "daemon/fleet_entry_internal.h"
@@ -57,7 +59,11 @@
     : settings(settings),
       log(log),
       thread("entry"),
-      tick_timer(this->thread.Context()) {}
+      tick_timer(this->thread.Context()),
+      next_relay_number(
+          absl::Uniform<uint64_t>(absl::BitGen(),
+                                  0,
+                                  std::numeric_limits<int64_t>::max())) {}
 
 FleetEntry::~FleetEntry() {
   // The event loop stops first, so that the handler of a timer that has expired
--- a/daemon/fleet_entry.h
+++ b/daemon/fleet_entry.h
@@ -156,8 +156,10 @@
   std::deque<UnknownCancel> unknown_cancels;
   absl::Time next_unknown_commit = absl::InfinitePast();
   bool unknown_commit_scheduled = false;
-  // Callbacks of unanswered requests to the planner, by request number.
-  uint64_t next_relay_number = 1;
+  // Callbacks of unanswered requests to the planner, by request number. The
+  // first number is random, since the planner may still answer requests of an
+  // earlier process of this VM.
+  uint64_t next_relay_number;
   std::map<uint64_t, std::function<void(bool stored)>> pending_relays;
   // Waiting submissions of each queue, and when the planner sent the counts.
   std::map<std::string, uint64_t> waiting_counts;
--- a/daemon/fleet_message.h
+++ b/daemon/fleet_message.h
@@ -357,7 +357,8 @@
 // Entry to planner: store this submission, or its cancellation, for the entry,
 // whose own calls the store refuses.
 struct StoreRequest {
-  // Identifies the request of this entry; repeated in StoreDone.
+  // Identifies the request among those of all processes of this entry's VM;
+  // repeated in StoreDone.
   uint64_t number = 0;
   Submission submission;
   // Cancels the submission, of which only the id is set.
--- /dev/null
+++ b/daemon/testing/foreign_answers_test.cc
@@ -0,0 +1,65 @@
+// Tests that an answer reaches only the request that it is for, also if the
+// process that asked, or the planner, was replaced meanwhile.
+
+#include <future>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "daemon/testing/fleet_fixture.h"
+#include "daemon/testing/port_process.h"
+#include "daemon/testing/script_planner.h"
+
+namespace cuminjunction {
+namespace {
+
+constexpr char kOneTask[] =
+    R"({"spec":"text","steps":[{"count":1,"cpu":500}]})";
+
+// Epochs above those of the planner that an entry starts.
+constexpr uint64_t kEpoch = 100;
+
+class ForeignAnswersTest : public OneAgentTest {
+ protected:
+  // A submission that the entry relays to the planner, since the store refuses
+  // the entry's calls, and the answer that its caller will get.
+  struct Relay {
+    std::optional<StoreRequest> request;
+    std::future<HttpResponse> answer;
+  };
+
+  Relay RelaySubmission(ScriptPlanner* planner, const std::string& id) {
+    EXPECT_TRUE(planner->WaitFor<NodePong>());
+    this->store->SetRefusing(true);
+    Relay relay;
+    relay.answer = std::async(std::launch::async, [this, id] {
+      return this->Call(this->entry_settings.fleet.submissions, "POST",
+                        StrCat("/plans/", id), kOneTask);
+    });
+    relay.request = planner->WaitFor<StoreRequest>();
+    return relay;
+  }
+};
+
+// Guards against a submission that is acknowledged and not stored: the planner
+// answers a request of the entry's earlier process, and the entry took this for
+// the answer to its own request.
+TEST_F(ForeignAnswersTest, AnAnswerToAnEarlierProcessStoresNothing) {
+  const Endpoint address = PortProcess::Address(this->entry_settings);
+  this->StartEntry();
+  auto planner = std::make_unique<ScriptPlanner>(address, kEpoch);
+  Relay first = this->RelaySubmission(planner.get(), "00000000000000a1");
+  ASSERT_TRUE(first.request);
+  first.answer.wait();
+  this->store->SetRefusing(false);
+  this->entry = nullptr;
+  this->StartEntry();
+  planner = std::make_unique<ScriptPlanner>(address, kEpoch);
+  Relay second = this->RelaySubmission(planner.get(), "00000000000000a2");
+  ASSERT_TRUE(second.request);
+  planner->Send(StoreDone{kEpoch, first.request->number});
+  EXPECT_EQ(second.answer.get().status, 504);
+}
+
+}  // namespace
+}  // namespace cuminjunction
--- /dev/null
+++ b/daemon/testing/script_planner.h
@@ -0,0 +1,114 @@
+#ifndef DAEMON_TESTING_SCRIPT_PLANNER_H_
+#define DAEMON_TESTING_SCRIPT_PLANNER_H_
+
+// A planner for tests of one process: it connects to the process, pings it, and
+// sends and receives what the test says.
+//
+//   ScriptPlanner planner(PortProcess::Address(settings), /*epoch=*/100);
+//   planner.Send(PermitRequest{100, ...});
+//   std::optional<PermitAnswer> answer = planner.WaitFor<PermitAnswer>();
+
+#include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string_view>
+#include <system_error>
+#include <utility>
+
+#include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
+#include "base/endpoint.h"
+#include "base/event_thread.h"
+#include "base/frame_link.h"
+#include "daemon/fleet_message.h"
+
+namespace cuminjunction {
+
+class ScriptPlanner {
+ public:
+  // A process takes the planner with the highest epoch for the current one.
+  ScriptPlanner(const Endpoint& process, uint64_t epoch)
+      : epoch(epoch), thread("planner"), ping_timer(this->thread.Context()) {
+    this->thread.Start();
+    this->thread.Call([&] {
+      this->link = std::make_shared<FrameLink>(
+          boost::asio::ip::tcp::socket(this->thread.Context()),
+          FrameHandlers{.on_open = [this] { this->Ping(); },
+                        .on_frame =
+                            [this](std::string_view payload) {
+                              return this->OnFrame(payload);
+                            },
+                        .on_closed = [](std::error_code) {}});
+      this->link->Connect(process);
+    });
+  }
+
+  ~ScriptPlanner() {
+    this->thread.Call([this] {
+      this->ping_timer.cancel();
+      this->link->Close();
+    });
+    this->thread.Stop();
+  }
+
+  void Send(const FleetMessage& message) {
+    this->thread.Call([&] { this->link->Send(EncodeFleetMessage(message)); });
+  }
+
+  // Removes and returns the first message of this type. Waits for it; no value
+  // after a minute.
+  template <class Message>
+  std::optional<Message> WaitFor() {
+    const auto is_wanted = [](const FleetMessage& message) {
+      return std::holds_alternative<Message>(message);
+    };
+    const absl::MutexLock lock(&this->mutex);
+    const auto find = [&] {
+      return std::find_if(this->received.begin(), this->received.end(),
+                          is_wanted);
+    };
+    const auto has_arrived = [&] { return find() != this->received.end(); };
+    if (!this->mutex.AwaitWithTimeout(absl::Condition(&has_arrived),
+                                      absl::Minutes(1)))
+      return std::nullopt;
+    const auto found = find();
+    Message message = std::get<Message>(std::move(*found));
+    this->received.erase(found);
+    return message;
+  }
+
+ private:
+  void Ping() {
+    if (this->link->IsClosed())
+      return;
+    this->link->Send(EncodeFleetMessage(
+        PlannerPing{.epoch = this->epoch, .planner = "script"}));
+    this->ping_timer.expires_after(std::chrono::milliseconds(200));
+    this->ping_timer.async_wait([this](std::error_code error) {
+      if (!error)
+        this->Ping();
+    });
+  }
+
+  Status OnFrame(std::string_view payload) {
+    BOOST_OUTCOME_TRY(message, DecodeFleetMessage(payload));
+    const absl::MutexLock lock(&this->mutex);
+    this->received.push_back(std::move(message));
+    return Ok();
+  }
+
+  const uint64_t epoch;
+  absl::Mutex mutex;
+  std::deque<FleetMessage> received;
+  EventThread thread;
+  boost::asio::steady_timer ping_timer;
+  std::shared_ptr<FrameLink> link;
+};
+
+}  // namespace cuminjunction
+
+#endif  // DAEMON_TESTING_SCRIPT_PLANNER_H_
