Send an adviser's answer only to the planner that asked

What callers would see: starts that runners refuse for their ticket, and tasks that start late.

Cause: each planner numbers its questions from 1. An agent sent the adviser's answer to the planner that was the current one by then, which took the permits for those of its own question with that number, on another step.

Change: the agent drops an answer if a planner with another epoch than that of the question is the current one.

--- a/daemon/fleet_agent.cc
+++ b/daemon/fleet_agent.cc
@@ -260,12 +260,15 @@
   }
   this->adviser->Ask(
       {request.step, request.runners}, absl::Milliseconds(request.timeout_ms),
-      [this, number = request.number,
+      [this, number = request.number, epoch = request.epoch,
        submission = request.step.submission](AdviserReply&& reply) {
         if (reply.error)
           this->log->Write(LogLine("adviser_failed", LogLevel::kWarning)
                                .Add("submission", submission)
                                .Add("error", reply.error));
+        // Another planner may have asked under the same number.
+        if (epoch != this->port->Epoch())
+          return;
         this->port->Send(PermitAnswer{
             number, !reply.error, std::move(reply.granted), reply.valid_ms});
       });
--- a/daemon/fleet_message.h
+++ b/daemon/fleet_message.h
@@ -315,7 +315,8 @@
 // agents.
 struct PermitRequest {
   uint64_t epoch = 0;
-  // Identifies the request; repeated in the answer.
+  // Identifies the request among those of this epoch; repeated in the answer,
+  // which is sent only while no planner with a higher epoch has connected.
   uint64_t number = 0;
   StepRef step;
   std::vector<std::string> runners;
--- a/daemon/testing/foreign_answers_test.cc
+++ b/daemon/testing/foreign_answers_test.cc
@@ -9,6 +9,7 @@
 #include "daemon/testing/fleet_fixture.h"
 #include "daemon/testing/port_process.h"
 #include "daemon/testing/script_planner.h"
+#include "testing/support/fault_proxy.h"
 
 namespace cuminjunction {
 namespace {
@@ -61,5 +62,42 @@
   EXPECT_EQ(second.answer.get().status, 504);
 }
 
+// Guards against permits of another step: the agent sent the adviser's answer
+// to the planner that is the current one by then, whose request has the same
+// number.
+TEST_F(ForeignAnswersTest, AnAnswerForAnEarlierPlannerIsDropped) {
+  EventThread links("links");
+  links.Start();
+  auto adviser = std::move(AdviserStandin::Start().value());
+  auto link = std::move(FaultProxy::Start(&links, adviser->Address()).value());
+  // An answer takes about half a second.
+  link->SetRate(400);
+  this->StartRunner(absl::Milliseconds(50));
+  this->agent_settings.fleet.adviser = link->Address();
+  this->StartAgent();
+  const Endpoint address = PortProcess::Address(this->agent_settings);
+  const auto ask = [&](ScriptPlanner* planner, uint64_t epoch) {
+    EXPECT_TRUE(planner->WaitFor<NodePong>());
+    planner->Send(PermitRequest{.epoch = epoch,
+                                .number = 1,
+                                .step = {.submission = kSubmissionId},
+                                .runners = {"runner"},
+                                .timeout_ms = 60000});
+  };
+  adviser->Allow("runner", "first");
+  ScriptPlanner first(address, kEpoch);
+  ask(&first, kEpoch);
+  ASSERT_TRUE(this->WaitUntil([&] { return adviser->Answers() == 1; }));
+  adviser->Allow("runner", "second");
+  ScriptPlanner second(address, kEpoch + 1);
+  ask(&second, kEpoch + 1);
+  const auto answer = second.WaitFor<PermitAnswer>();
+  ASSERT_TRUE(answer);
+  ASSERT_EQ(answer->granted.size(), 1u);
+  EXPECT_EQ(answer->granted.front().second, "second");
+  this->agent = nullptr;
+  links.Stop();
+}
+
 }  // namespace
 }  // namespace cuminjunction
--- a/testing/support/adviser_standin.cc
+++ b/testing/support/adviser_standin.cc
@@ -38,6 +38,11 @@
   this->tickets[runner] = ticket;
 }
 
+int AdviserStandin::Answers() const {
+  absl::MutexLock lock(&this->mutex);
+  return this->answers;
+}
+
 void AdviserStandin::RefuseNext(int count) {
   absl::MutexLock lock(&this->mutex);
   this->refuse = count;
@@ -53,6 +58,7 @@
     --this->refuse;
     return Answer(429, json::object());
   }
+  ++this->answers;
   json granted = json::array();
   for (const std::string runner : body["workers"]) {
     const auto found = this->tickets.find(runner);
--- a/testing/support/adviser_standin.h
+++ b/testing/support/adviser_standin.h
@@ -27,15 +27,19 @@
   // Lets every step run on the runner.
   void Allow(const std::string& runner, const std::string& ticket);
 
+  // Number of calls that were answered with permits.
+  int Answers() const;
+
   // Refuses the next calls.
   void RefuseNext(int count);
 
  private:
   HttpResponse Handle(const HttpRequest& request);
 
-  absl::Mutex mutex;
+  mutable absl::Mutex mutex;
   std::map<std::string, std::string> tickets;
   int refuse = 0;
+  int answers = 0;
   // Last, so that no request arrives after the rest is gone.
   std::unique_ptr<HttpServer> server;
 };
