Answer the requests that wait when an HTTP front stops

What callers would see: an entry that stops ends with SIGABRT, and the callers that still wait get no answer.

Cause: a stopping entry ends after a fixed time, whatever still waits. A request of an open connection that arrives near its end, or one that waits for the store, leaves a suspended connection, and libmicrohttpd aborts the process when it is stopped with one.

Change: HttpFront::Stop() answers such requests with 504, since their outcome is unknown. The handler of the front's timer does not use a destroyed front any more (by reading; no test).

The test before the fix, in 3 of 3 runs:

[ RUN ] HttpFrontTest.AStopAnswersRequestsThatAreNotAnswered Fatal error in GNU libmicrohttpd daemon.c:7550: MHD_stop_daemon() called while we have suspended connections.

--- a/base/http_front.cc
+++ b/base/http_front.cc
@@ -30,6 +30,9 @@
 // closed; callers that send a little too much still get the typed answer.
 constexpr size_t kMaxDiscardedBytes = 4 * kMaxBodyBytes;
 
+// Status of requests that are not answered when the front stops.
+constexpr unsigned kUnknownOutcomeStatus = 504;
+
 // How often libmicrohttpd looks for connections that have timed out.
 constexpr std::chrono::milliseconds kTick(250);
 
@@ -124,10 +127,9 @@
   const size_t size = exchange->reply.body.size();
   if (size > exchange->held_ahead)
     this->HoldAhead(exchange, size - exchange->held_ahead);
-  if (!exchange->suspended)
+  if (this->suspended.erase(exchange) == 0)
     return;
   // libmicrohttpd calls OnAccess() again, which queues the reply.
-  exchange->suspended = false;
   MHD_resume_connection(exchange->connection);
   this->ScheduleRun();
 }
@@ -179,6 +181,10 @@
   if (this->daemon == nullptr)
     return;
   this->timer.cancel();
+  this->closing = true;
+  // libmicrohttpd must not be stopped while a connection is suspended.
+  while (!this->suspended.empty())
+    this->Answer(*this->suspended.begin(), {kUnknownOutcomeStatus, {}, ""});
   // Writes the answers of the last exchanges.
   MHD_run(this->daemon);
   MHD_run(this->daemon);
@@ -219,12 +225,13 @@
 
 void HttpFront::Tick() {
   this->timer.expires_after(kTick);
-  this->timer.async_wait([this](std::error_code error) {
-    if (error || this->daemon == nullptr)
-      return;
-    this->Run();
-    this->Tick();
-  });
+  this->timer.async_wait(
+      [this, alive = std::weak_ptr(this->alive)](std::error_code error) {
+        if (error || alive.expired() || this->daemon == nullptr)
+          return;
+        this->Run();
+        this->Tick();
+      });
 }
 
 MHD_Result HttpFront::OnFirstCall(HttpExchange* exchange, const char* method) {
@@ -275,7 +282,7 @@
   this->handler(exchange);
   if (exchange->answered)
     return this->QueueReply(exchange);
-  exchange->suspended = true;
+  this->suspended.insert(exchange);
   MHD_suspend_connection(exchange->connection);
   return MHD_YES;
 }
--- a/base/http_front.h
+++ b/base/http_front.h
@@ -25,6 +25,7 @@
 #include <string>
 #include <string_view>
 
+#include "absl/container/flat_hash_set.h"
 #include "absl/time/time.h"
 #include "base/error.h"
 #include "base/http_message.h"
@@ -86,7 +87,6 @@
   MHD_Connection* connection = nullptr;
   bool seen = false;
   bool handed_over = false;
-  bool suspended = false;
   bool answered = false;
   size_t discarded = 0;
   // Bytes of request and answer that count as held, and those of them that
@@ -134,7 +134,8 @@
   unsigned ConnectionCount() const { return this->connections; }
   size_t OpenCount() const { return this->open; }
 
-  // Closes all connections. Every exchange must have been answered.
+  // Closes all connections. Exchanges that are not answered end with status
+  // 504, since their outcome is unknown.
   void Stop();
 
  private:
@@ -176,6 +177,8 @@
   unsigned connections = 0;
   size_t open = 0;
   size_t held_bytes = 0;
+  // Exchanges that wait for Answer(), with a suspended connection each.
+  absl::flat_hash_set<HttpExchange*> suspended;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
