Check in posted handlers and timers that their object still exists

Cause: the handler of libcurl's timer used an HttpCaller that may have been destroyed after the timer had expired. Two messages that PlannerNodes posts to itself took for granted that the epoch and the connection are still those that they are about: a planner could have stepped down in a later term, or closed a connection that was made since. Found by reading, seen in no run and without a test of its own, since nothing destroys an HttpCaller while its loop runs.

Change: the handler checks the object, the messages the epoch and the connection.

--- a/base/http_caller.cc
+++ b/base/http_caller.cc
@@ -358,10 +358,11 @@
     return;
   }
   this->timer.expires_after(std::chrono::milliseconds(timeout_ms));
-  this->timer.async_wait([this](std::error_code error) {
-    if (!error)
-      this->Act(CURL_SOCKET_TIMEOUT, 0);
-  });
+  this->timer.async_wait(
+      [this, alive = std::weak_ptr(this->alive)](std::error_code error) {
+        if (!error && !alive.expired())
+          this->Act(CURL_SOCKET_TIMEOUT, 0);
+      });
 }
 
 void HttpCaller::FailLater(CURL* easy) {
--- a/base/http_caller.h
+++ b/base/http_caller.h
@@ -144,7 +144,8 @@
   boost::asio::steady_timer timer;
   SocketPoller poller;
   bool act_posted = false;
-  // Ends with this object, for messages that were posted before.
+  // Ends with this object, for messages that were posted and timers that have
+  // expired before.
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
   // Set while the destructor runs, when callbacks must not touch the loop.
   bool ending = false;
--- a/daemon/planner_nodes.cc
+++ b/daemon/planner_nodes.cc
@@ -165,7 +165,10 @@
   if (pong.highest_epoch > this->epoch) {
     // Posted, since the handler may close the connection that is being read.
     boost::asio::post(*this->context,
-                      [this] { this->handlers.on_higher_epoch(); });
+                      [this, highest_epoch = pong.highest_epoch] {
+                        if (highest_epoch > this->epoch)
+                          this->handlers.on_higher_epoch();
+                      });
     return;
   }
   if (pong.vm != vm) {
@@ -174,9 +177,9 @@
                          .Add("node", vm)
                          .Add("answered_by", pong.vm));
     // Posted, since the connection is being read.
-    boost::asio::post(*this->context, [this, vm] {
+    boost::asio::post(*this->context, [this, vm, link = node->link] {
       const auto found = this->nodes.find(vm);
-      if (found == this->nodes.end())
+      if (found == this->nodes.end() || found->second.link != link)
         return;
       this->Disconnect(vm, &found->second,
                        std::make_error_code(std::errc::address_in_use));
