--- a/request/testing/load_tools_test.cc
+++ b/request/testing/load_tools_test.cc
@@ -2,14 +2,19 @@
 // failures that these tools miss.
 
 #include <gtest/gtest.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <csignal>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "testing/support/call_reply.h"
+#include "testing/support/free_port.h"
 #include "testing/support/load_generator.h"
 #include "testing/support/upstream_standin.h"
 
@@ -27,6 +32,45 @@
   return settings;
 }
 
+// Ports that each process takes: two processes that take them at random from
+// 17,000 have some in common.
+constexpr size_t kPorts = 1000;
+
+// Guards against two test programs, or two runs of the soak, that start
+// processes on one port: the later process ends with "Address already in use".
+TEST(FreePortTest, ProcessesGetPortsOfTheirOwn) {
+  int pipe_ends[2];
+  ASSERT_EQ(pipe(pipe_ends), 0);
+  const pid_t child = fork();
+  std::vector<uint16_t> ports(kPorts);
+  for (uint16_t& port : ports)
+    port = FreePort();
+  if (child == 0) {
+    const ssize_t size = static_cast<ssize_t>(kPorts * sizeof(uint16_t));
+    const bool sent = write(pipe_ends[1], ports.data(), size) == size;
+    // Keeps the ports until the other process has taken its own.
+    pause();
+    _exit(sent ? 0 : 1);
+  }
+  std::vector<uint16_t> ports_of_child(kPorts);
+  size_t received = 0;
+  while (received < kPorts * sizeof(uint16_t)) {
+    const ssize_t size = read(
+        pipe_ends[0], reinterpret_cast<char*>(ports_of_child.data()) + received,
+        kPorts * sizeof(uint16_t) - received);
+    ASSERT_GT(size, 0);
+    received += static_cast<size_t>(size);
+  }
+  kill(child, SIGKILL);
+  waitpid(child, nullptr, 0);
+  close(pipe_ends[0]);
+  close(pipe_ends[1]);
+  const std::set<uint16_t> own(ports.begin(), ports.end());
+  EXPECT_EQ(own.size(), kPorts);
+  for (const uint16_t port : ports_of_child)
+    EXPECT_FALSE(own.contains(port)) << port;
+}
+
 // Guards against executions that are not counted, which would hide an order
 // that ran twice.
 TEST(LoadToolsTest, StandinCountsEachExecutionOfAKey) {
