--- a/base/http_caller.cc
+++ b/base/http_caller.cc
@@ -55,7 +55,7 @@
 // error or an end by reading or writing.
 int SelectEvents(uint32_t events) {
   int selected = 0;
-  if ((events & (EPOLLIN | EPOLLHUP | EPOLLRDHUP)) != 0)
+  if ((events & (EPOLLIN | EPOLLHUP)) != 0)
     selected |= CURL_CSELECT_IN;
   if ((events & EPOLLOUT) != 0)
     selected |= CURL_CSELECT_OUT;
--- a/base/socket_poller.h
+++ b/base/socket_poller.h
@@ -1,7 +1,7 @@
 #ifndef BASE_SOCKET_POLLER_H_
 #define BASE_SOCKET_POLLER_H_
 
-// Reports when sockets that belong to somebody else, such as a library, can be
+// Reports when sockets that are owned by other code, such as a library, can be
 // read or written.
 //
 //   SocketPoller poller(&context, [&](int socket, uint32_t events) { ... });
@@ -9,10 +9,10 @@
 //   ...
 //   poller.Unwatch(socket);
 //
-// The poller never closes a watched socket, and its owner may close one without
-// a word: the sockets are in an epoll set of their own, from which the kernel
-// then removes it. The number may belong to another descriptor afterwards,
-// which is not affected.
+// The poller never closes a watched socket, and the owner may close one without
+// a call of Unwatch(): the sockets are in an epoll set of their own, from which
+// the kernel removes a closed socket. Another descriptor that gets the number
+// afterwards is not affected.
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/posix/stream_descriptor.hpp>
