Move the processes of the users' platform to a folder of their own

daemon/ held two kinds of deployment and the program. The entry, planner and agent on the users' platform, their messages, the planner's lease and ports and the guard of the runner move to fleet/, with their tests. The settings, which both kinds use, move to settings/, so that no two folders depend on each other.

--- a/daemon/cuminjunctiond_main.cc
+++ b/daemon/cuminjunctiond_main.cc
@@ -9,9 +9,9 @@
 #include "base/file.h"
 #include "daemon/agent_process.h"
 #include "daemon/entry_process.h"
-#include "daemon/fleet_agent.h"
-#include "daemon/fleet_entry.h"
-#include "daemon/settings.h"
+#include "fleet/fleet_agent.h"
+#include "fleet/fleet_entry.h"
+#include "settings/settings.h"
 
 namespace cuminjunction {
 namespace {
--- a/daemon/entry_admin.h
+++ b/daemon/entry_admin.h
@@ -22,11 +22,11 @@
 #include "config/store.h"
 #include "daemon/config_task.h"
 #include "daemon/planner_task.h"
-#include "daemon/settings.h"
 #include "daemon/store_reader.h"
 #include "daemon/version_survey.h"
 #include "membership/entry_gossip.h"
 #include "request/entry_front.h"
+#include "settings/settings.h"
 #include "table/http_table.h"
 #include "task/operate.h"
 
--- a/daemon/entry_process.h
+++ b/daemon/entry_process.h
@@ -10,7 +10,7 @@
 #include <memory>
 
 #include "base/log.h"
-#include "daemon/settings.h"
+#include "settings/settings.h"
 
 namespace cuminjunction {
 
--- a/daemon/incarnation.h
+++ b/daemon/incarnation.h
@@ -6,7 +6,7 @@
 #include <cstdint>
 #include <string>
 
-#include "daemon/settings.h"
+#include "settings/settings.h"
 
 namespace cuminjunction {
 
--- a/daemon/peer_net.h
+++ b/daemon/peer_net.h
@@ -33,7 +33,7 @@
 #include "base/frame_link.h"
 #include "base/metrics.h"
 #include "config/distribution.h"
-#include "daemon/settings.h"
+#include "settings/settings.h"
 
 namespace cuminjunction {
 
--- a/daemon/planner_task.h
+++ b/daemon/planner_task.h
@@ -17,7 +17,7 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "base/time.h"
-#include "daemon/settings.h"
+#include "settings/settings.h"
 #include "table/http_table.h"
 #include "task/learned_scorer.h"
 #include "task/planner_loop.h"
--- a/daemon/worker_task.h
+++ b/daemon/worker_task.h
@@ -11,7 +11,7 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "base/time.h"
-#include "daemon/settings.h"
+#include "settings/settings.h"
 #include "table/http_runtime.h"
 #include "table/http_table.h"
 #include "task/worker_agent.h"
--- a/daemon/fleet_agent.cc
+++ b/fleet/fleet_agent.cc
@@ -1,4 +1,4 @@
-#include "daemon/fleet_agent.h"
+#include "fleet/fleet_agent.h"
 
 #include <chrono>
 #include <thread>
--- a/daemon/fleet_agent.h
+++ b/fleet/fleet_agent.h
@@ -1,5 +1,5 @@
-#ifndef DAEMON_FLEET_AGENT_H_
-#define DAEMON_FLEET_AGENT_H_
+#ifndef FLEET_FLEET_AGENT_H_
+#define FLEET_FLEET_AGENT_H_
 
 // An agent on the users' platform: receives the heartbeats of the runner on its
 // VM, executes the planner's orders there and reports the runs to the planner.
@@ -18,15 +18,15 @@
 #include "base/http_front.h"
 #include "base/log.h"
 #include "base/metrics.h"
-#include "daemon/fleet_message.h"
-#include "daemon/metrics_front.h"
-#include "daemon/node_row.h"
-#include "daemon/planner_port.h"
-#include "daemon/runner_guard.h"
-#include "daemon/settings.h"
+#include "fleet/fleet_message.h"
+#include "fleet/metrics_front.h"
+#include "fleet/node_row.h"
+#include "fleet/planner_port.h"
+#include "fleet/runner_guard.h"
 #include "platform/adviser.h"
 #include "platform/runner.h"
 #include "platform/store.h"
+#include "settings/settings.h"
 #include "submission/types.h"
 
 namespace cuminjunction {
@@ -94,4 +94,4 @@
 
 }  // namespace cuminjunction
 
-#endif  // DAEMON_FLEET_AGENT_H_
+#endif  // FLEET_FLEET_AGENT_H_
--- a/daemon/fleet_entry.cc
+++ b/fleet/fleet_entry.cc
@@ -1,4 +1,4 @@
-#include "daemon/fleet_entry.h"
+#include "fleet/fleet_entry.h"
 
 #include <algorithm>
 #include <chrono>
@@ -9,7 +9,7 @@
 #include "absl/random/random.h"
 #include "base/strings.h"
 #include "base/time.h"
-#include "daemon/fleet_entry_internal.h"
+#include "fleet/fleet_entry_internal.h"
 #include "platform/bodies.h"
 #include "platform/calls.h"
 
--- a/daemon/fleet_entry.h
+++ b/fleet/fleet_entry.h
@@ -1,5 +1,5 @@
-#ifndef DAEMON_FLEET_ENTRY_H_
-#define DAEMON_FLEET_ENTRY_H_
+#ifndef FLEET_FLEET_ENTRY_H_
+#define FLEET_FLEET_ENTRY_H_
 
 // An entry on the users' platform: accepts submissions from callers, answers
 // queries of their state, and is a candidate for the planner's role.
@@ -31,13 +31,13 @@
 #include "base/http_front.h"
 #include "base/log.h"
 #include "base/metrics.h"
-#include "daemon/fleet_planner.h"
-#include "daemon/metrics_front.h"
-#include "daemon/node_row.h"
-#include "daemon/planner_port.h"
-#include "daemon/policy_follower.h"
-#include "daemon/settings.h"
+#include "fleet/fleet_planner.h"
+#include "fleet/metrics_front.h"
+#include "fleet/node_row.h"
+#include "fleet/planner_port.h"
+#include "fleet/policy_follower.h"
 #include "platform/store.h"
+#include "settings/settings.h"
 #include "submission/policy.h"
 #include "submission/types.h"
 
@@ -168,4 +168,4 @@
 
 }  // namespace cuminjunction
 
-#endif  // DAEMON_FLEET_ENTRY_H_
+#endif  // FLEET_FLEET_ENTRY_H_
--- a/daemon/fleet_entry_cancel.cc
+++ b/fleet/fleet_entry_cancel.cc
@@ -4,8 +4,8 @@
 #include <utility>
 
 #include "base/time.h"
-#include "daemon/fleet_entry.h"
-#include "daemon/fleet_entry_internal.h"
+#include "fleet/fleet_entry.h"
+#include "fleet/fleet_entry_internal.h"
 #include "platform/bodies.h"
 #include "platform/calls.h"
 
--- a/daemon/fleet_entry_internal.h
+++ b/fleet/fleet_entry_internal.h
@@ -1,5 +1,5 @@
-#ifndef DAEMON_FLEET_ENTRY_INTERNAL_H_
-#define DAEMON_FLEET_ENTRY_INTERNAL_H_
+#ifndef FLEET_FLEET_ENTRY_INTERNAL_H_
+#define FLEET_FLEET_ENTRY_INTERNAL_H_
 
 // Timeouts that the source files of FleetEntry share.
 
@@ -27,4 +27,4 @@
 
 }  // namespace cuminjunction
 
-#endif  // DAEMON_FLEET_ENTRY_INTERNAL_H_
+#endif  // FLEET_FLEET_ENTRY_INTERNAL_H_
--- a/daemon/fleet_entry_submit.cc
+++ b/fleet/fleet_entry_submit.cc
@@ -5,8 +5,8 @@
 
 #include "base/strings.h"
 #include "base/time.h"
-#include "daemon/fleet_entry.h"
-#include "daemon/fleet_entry_internal.h"
+#include "fleet/fleet_entry.h"
+#include "fleet/fleet_entry_internal.h"
 #include "platform/bodies.h"
 #include "platform/calls.h"
 
--- a/daemon/fleet_message.cc
+++ b/fleet/fleet_message.cc
@@ -1,4 +1,4 @@
-#include "daemon/fleet_message.h"
+#include "fleet/fleet_message.h"
 
 #include "base/tagged.h"
 
--- a/daemon/fleet_message.h
+++ b/fleet/fleet_message.h
@@ -1,5 +1,5 @@
-#ifndef DAEMON_FLEET_MESSAGE_H_
-#define DAEMON_FLEET_MESSAGE_H_
+#ifndef FLEET_FLEET_MESSAGE_H_
+#define FLEET_FLEET_MESSAGE_H_
 
 // Messages between the planner of submissions and the other processes.
 //
@@ -437,4 +437,4 @@
 
 }  // namespace cuminjunction
 
-#endif  // DAEMON_FLEET_MESSAGE_H_
+#endif  // FLEET_FLEET_MESSAGE_H_
--- a/daemon/fleet_planner.cc
+++ b/fleet/fleet_planner.cc
@@ -1,4 +1,4 @@
-#include "daemon/fleet_planner.h"
+#include "fleet/fleet_planner.h"
 
 #include <algorithm>
 #include <chrono>
--- a/daemon/fleet_planner.h
+++ b/fleet/fleet_planner.h
@@ -1,5 +1,5 @@
-#ifndef DAEMON_FLEET_PLANNER_H_
-#define DAEMON_FLEET_PLANNER_H_
+#ifndef FLEET_FLEET_PLANNER_H_
+#define FLEET_FLEET_PLANNER_H_
 
 // The planner of submissions in an entry. It claims the lease when no other
 // entry plans, loads the state from the store, connects to all processes and
@@ -34,10 +34,10 @@
 #include "absl/time/time.h"
 #include "base/log.h"
 #include "base/metrics.h"
-#include "daemon/fleet_message.h"
-#include "daemon/planner_lease.h"
-#include "daemon/planner_nodes.h"
-#include "daemon/vacant_workers.h"
+#include "fleet/fleet_message.h"
+#include "fleet/planner_lease.h"
+#include "fleet/planner_nodes.h"
+#include "fleet/vacant_workers.h"
 #include "platform/store.h"
 #include "submission/policy.h"
 #include "submission/prior_starts.h"
@@ -300,4 +300,4 @@
 
 }  // namespace cuminjunction
 
-#endif  // DAEMON_FLEET_PLANNER_H_
+#endif  // FLEET_FLEET_PLANNER_H_
--- a/daemon/fleet_planner_held.cc
+++ b/fleet/fleet_planner_held.cc
@@ -3,7 +3,7 @@
 #include <utility>
 
 #include "base/strings.h"
-#include "daemon/fleet_planner.h"
+#include "fleet/fleet_planner.h"
 
 namespace cuminjunction {
 
--- a/daemon/fleet_planner_messages.cc
+++ b/fleet/fleet_planner_messages.cc
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "base/time.h"
-#include "daemon/fleet_planner.h"
+#include "fleet/fleet_planner.h"
 
 namespace cuminjunction {
 
--- a/daemon/fleet_planner_permits.cc
+++ b/fleet/fleet_planner_permits.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "base/time.h"
-#include "daemon/fleet_planner.h"
+#include "fleet/fleet_planner.h"
 
 namespace cuminjunction {
 
--- a/daemon/metrics_front.cc
+++ b/fleet/metrics_front.cc
@@ -1,4 +1,4 @@
-#include "daemon/metrics_front.h"
+#include "fleet/metrics_front.h"
 
 namespace cuminjunction {
 
--- a/daemon/metrics_front.h
+++ b/fleet/metrics_front.h
@@ -1,5 +1,5 @@
-#ifndef DAEMON_METRICS_FRONT_H_
-#define DAEMON_METRICS_FRONT_H_
+#ifndef FLEET_METRICS_FRONT_H_
+#define FLEET_METRICS_FRONT_H_
 
 // Serves a process's metrics as Prometheus text.
 //
@@ -32,4 +32,4 @@
 
 }  // namespace cuminjunction
 
-#endif  // DAEMON_METRICS_FRONT_H_
+#endif  // FLEET_METRICS_FRONT_H_
--- a/daemon/node_row.cc
+++ b/fleet/node_row.cc
@@ -1,4 +1,4 @@
-#include "daemon/node_row.h"
+#include "fleet/node_row.h"
 
 #include <chrono>
 
--- a/daemon/node_row.h
+++ b/fleet/node_row.h
@@ -1,5 +1,5 @@
-#ifndef DAEMON_NODE_ROW_H_
-#define DAEMON_NODE_ROW_H_
+#ifndef FLEET_NODE_ROW_H_
+#define FLEET_NODE_ROW_H_
 
 // The row in the store by which planners find the address of a process.
 //
@@ -66,4 +66,4 @@
 
 }  // namespace cuminjunction
 
-#endif  // DAEMON_NODE_ROW_H_
+#endif  // FLEET_NODE_ROW_H_
--- a/daemon/planner_lease.cc
+++ b/fleet/planner_lease.cc
@@ -1,4 +1,4 @@
-#include "daemon/planner_lease.h"
+#include "fleet/planner_lease.h"
 
 #include <algorithm>
 #include <utility>
--- a/daemon/planner_lease.h
+++ b/fleet/planner_lease.h
@@ -1,5 +1,5 @@
-#ifndef DAEMON_PLANNER_LEASE_H_
-#define DAEMON_PLANNER_LEASE_H_
+#ifndef FLEET_PLANNER_LEASE_H_
+#define FLEET_PLANNER_LEASE_H_
 
 // The planner's lease, and the planner's commits to the store under it.
 //
@@ -208,4 +208,4 @@
 
 }  // namespace cuminjunction
 
-#endif  // DAEMON_PLANNER_LEASE_H_
+#endif  // FLEET_PLANNER_LEASE_H_
--- a/daemon/planner_nodes.cc
+++ b/fleet/planner_nodes.cc
@@ -1,4 +1,4 @@
-#include "daemon/planner_nodes.h"
+#include "fleet/planner_nodes.h"
 
 #include <algorithm>
 #include <utility>
--- a/daemon/planner_nodes.h
+++ b/fleet/planner_nodes.h
@@ -1,5 +1,5 @@
-#ifndef DAEMON_PLANNER_NODES_H_
-#define DAEMON_PLANNER_NODES_H_
+#ifndef FLEET_PLANNER_NODES_H_
+#define FLEET_PLANNER_NODES_H_
 
 // The planner's connections to the other processes.
 //
@@ -20,8 +20,8 @@
 #include "absl/time/time.h"
 #include "base/frame_link.h"
 #include "base/log.h"
-#include "daemon/fleet_message.h"
-#include "daemon/node_row.h"
+#include "fleet/fleet_message.h"
+#include "fleet/node_row.h"
 
 namespace cuminjunction {
 
@@ -128,4 +128,4 @@
 
 }  // namespace cuminjunction
 
-#endif  // DAEMON_PLANNER_NODES_H_
+#endif  // FLEET_PLANNER_NODES_H_
--- a/daemon/planner_port.cc
+++ b/fleet/planner_port.cc
@@ -1,4 +1,4 @@
-#include "daemon/planner_port.h"
+#include "fleet/planner_port.h"
 
 #include <utility>
 
--- a/daemon/planner_port.h
+++ b/fleet/planner_port.h
@@ -1,5 +1,5 @@
-#ifndef DAEMON_PLANNER_PORT_H_
-#define DAEMON_PLANNER_PORT_H_
+#ifndef FLEET_PLANNER_PORT_H_
+#define FLEET_PLANNER_PORT_H_
 
 // Port of a process on which it accepts connections of planners.
 //
@@ -23,7 +23,7 @@
 #include "base/event_thread.h"
 #include "base/frame_link.h"
 #include "base/log.h"
-#include "daemon/fleet_message.h"
+#include "fleet/fleet_message.h"
 
 namespace cuminjunction {
 
@@ -90,4 +90,4 @@
 
 }  // namespace cuminjunction
 
-#endif  // DAEMON_PLANNER_PORT_H_
+#endif  // FLEET_PLANNER_PORT_H_
--- a/daemon/policy_follower.cc
+++ b/fleet/policy_follower.cc
@@ -1,4 +1,4 @@
-#include "daemon/policy_follower.h"
+#include "fleet/policy_follower.h"
 
 #include <chrono>
 #include <utility>
--- a/daemon/policy_follower.h
+++ b/fleet/policy_follower.h
@@ -1,5 +1,5 @@
-#ifndef DAEMON_POLICY_FOLLOWER_H_
-#define DAEMON_POLICY_FOLLOWER_H_
+#ifndef FLEET_POLICY_FOLLOWER_H_
+#define FLEET_POLICY_FOLLOWER_H_
 
 // Follows the operator's configuration in the platform's store.
 //
@@ -60,4 +60,4 @@
 
 }  // namespace cuminjunction
 
-#endif  // DAEMON_POLICY_FOLLOWER_H_
+#endif  // FLEET_POLICY_FOLLOWER_H_
--- a/daemon/runner_guard.h
+++ b/fleet/runner_guard.h
@@ -1,5 +1,5 @@
-#ifndef DAEMON_RUNNER_GUARD_H_
-#define DAEMON_RUNNER_GUARD_H_
+#ifndef FLEET_RUNNER_GUARD_H_
+#define FLEET_RUNNER_GUARD_H_
 
 // Controls the runner on an agent's VM: renews its lease, starts, stops and
 // paces its runs, and reports which runs are active or have ended.
@@ -38,7 +38,7 @@
 #include "absl/time/time.h"
 #include "base/log.h"
 #include "base/metrics.h"
-#include "daemon/fleet_message.h"
+#include "fleet/fleet_message.h"
 #include "platform/runner.h"
 #include "submission/crash.h"
 #include "submission/pace.h"
@@ -336,4 +336,4 @@
 
 }  // namespace cuminjunction
 
-#endif  // DAEMON_RUNNER_GUARD_H_
+#endif  // FLEET_RUNNER_GUARD_H_
--- a/daemon/runner_guard_incarnations.cc
+++ b/fleet/runner_guard_incarnations.cc
@@ -7,7 +7,7 @@
 #include <utility>
 
 #include "base/time.h"
-#include "daemon/runner_guard.h"
+#include "fleet/runner_guard.h"
 
 namespace cuminjunction {
 
--- a/daemon/runner_guard_lines.cc
+++ b/fleet/runner_guard_lines.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "daemon/runner_guard.h"
+#include "fleet/runner_guard.h"
 
 namespace cuminjunction {
 
--- a/daemon/testing/crash_test.cc
+++ b/fleet/testing/crash_test.cc
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "daemon/testing/fleet_fixture.h"
+#include "fleet/testing/fleet_fixture.h"
 
 namespace cuminjunction {
 namespace {
--- a/daemon/testing/cut_lists_test.cc
+++ b/fleet/testing/cut_lists_test.cc
@@ -5,9 +5,9 @@
 #include <memory>
 #include <string>
 
-#include "daemon/node_row.h"
-#include "daemon/testing/fleet_fixture.h"
-#include "daemon/testing/port_process.h"
+#include "fleet/node_row.h"
+#include "fleet/testing/fleet_fixture.h"
+#include "fleet/testing/port_process.h"
 
 namespace cuminjunction {
 namespace {
--- a/daemon/testing/fleet_fixture.h
+++ b/fleet/testing/fleet_fixture.h
@@ -1,5 +1,5 @@
-#ifndef DAEMON_TESTING_FLEET_FIXTURE_H_
-#define DAEMON_TESTING_FLEET_FIXTURE_H_
+#ifndef FLEET_TESTING_FLEET_FIXTURE_H_
+#define FLEET_TESTING_FLEET_FIXTURE_H_
 
 // Fixture of the tests that run whole entries and agents: a stand-in of the
 // platform's store that holds a configuration, settings with free ports, and
@@ -21,8 +21,8 @@
 #include "absl/time/clock.h"
 #include "base/http_client.h"
 #include "base/strings.h"
-#include "daemon/fleet_agent.h"
-#include "daemon/fleet_entry.h"
+#include "fleet/fleet_agent.h"
+#include "fleet/fleet_entry.h"
 #include "testing/support/adviser_standin.h"
 #include "testing/support/free_port.h"
 #include "testing/support/runner_standin.h"
@@ -189,4 +189,4 @@
 
 }  // namespace cuminjunction
 
-#endif  // DAEMON_TESTING_FLEET_FIXTURE_H_
+#endif  // FLEET_TESTING_FLEET_FIXTURE_H_
--- a/daemon/testing/fleet_log_test.cc
+++ b/fleet/testing/fleet_log_test.cc
@@ -6,7 +6,7 @@
 #include <optional>
 
 #include "base/file.h"
-#include "daemon/testing/fleet_fixture.h"
+#include "fleet/testing/fleet_fixture.h"
 
 namespace cuminjunction {
 namespace {
--- a/daemon/testing/fleet_planner_test.cc
+++ b/fleet/testing/fleet_planner_test.cc
@@ -2,7 +2,7 @@
 // agents. The test runs the planner's event loop, so that it decides between
 // which events a tick comes.
 
-#include "daemon/fleet_planner.h"
+#include "fleet/fleet_planner.h"
 
 #include <boost/asio/io_context.hpp>
 #include <chrono>
@@ -12,9 +12,9 @@
 #include <utility>
 #include <vector>
 
-#include "daemon/node_row.h"
-#include "daemon/testing/fleet_fixture.h"
-#include "daemon/testing/port_process.h"
+#include "fleet/node_row.h"
+#include "fleet/testing/fleet_fixture.h"
+#include "fleet/testing/port_process.h"
 #include "submission/testing/scheduler_fixture.h"
 
 namespace cuminjunction {
--- a/daemon/testing/fleet_test.cc
+++ b/fleet/testing/fleet_test.cc
@@ -5,8 +5,8 @@
 #include <set>
 
 #include "base/event_thread.h"
-#include "daemon/planner_nodes.h"
-#include "daemon/testing/fleet_fixture.h"
+#include "fleet/planner_nodes.h"
+#include "fleet/testing/fleet_fixture.h"
 
 namespace cuminjunction {
 namespace {
--- a/daemon/testing/foreign_answers_test.cc
+++ b/fleet/testing/foreign_answers_test.cc
@@ -6,9 +6,9 @@
 #include <optional>
 #include <string>
 
-#include "daemon/testing/fleet_fixture.h"
-#include "daemon/testing/port_process.h"
-#include "daemon/testing/script_planner.h"
+#include "fleet/testing/fleet_fixture.h"
+#include "fleet/testing/port_process.h"
+#include "fleet/testing/script_planner.h"
 #include "testing/support/fault_proxy.h"
 
 namespace cuminjunction {
--- a/daemon/testing/planner_lease_test.cc
+++ b/fleet/testing/planner_lease_test.cc
@@ -1,4 +1,4 @@
-#include "daemon/planner_lease.h"
+#include "fleet/planner_lease.h"
 
 #include <gtest/gtest.h>
 
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "base/time.h"
-#include "daemon/node_row.h"
+#include "fleet/node_row.h"
 #include "testing/support/store_standin.h"
 
 namespace cuminjunction {
--- a/daemon/testing/policy_follower_test.cc
+++ b/fleet/testing/policy_follower_test.cc
@@ -1,4 +1,4 @@
-#include "daemon/policy_follower.h"
+#include "fleet/policy_follower.h"
 
 #include <gtest/gtest.h>
 
@@ -11,7 +11,7 @@
 #include "absl/time/time.h"
 #include "base/event_thread.h"
 #include "base/strings.h"
-#include "daemon/node_row.h"
+#include "fleet/node_row.h"
 #include "testing/support/fault_proxy.h"
 #include "testing/support/store_standin.h"
 
--- a/daemon/testing/port_process.h
+++ b/fleet/testing/port_process.h
@@ -1,5 +1,5 @@
-#ifndef DAEMON_TESTING_PORT_PROCESS_H_
-#define DAEMON_TESTING_PORT_PROCESS_H_
+#ifndef FLEET_TESTING_PORT_PROCESS_H_
+#define FLEET_TESTING_PORT_PROCESS_H_
 
 // A process to which planners connect, for tests of what a planner sends it.
 //
@@ -14,8 +14,8 @@
 #include <utility>
 
 #include "base/event_thread.h"
-#include "daemon/planner_port.h"
-#include "daemon/settings.h"
+#include "fleet/planner_port.h"
+#include "settings/settings.h"
 
 namespace cuminjunction {
 
@@ -71,4 +71,4 @@
 
 }  // namespace cuminjunction
 
-#endif  // DAEMON_TESTING_PORT_PROCESS_H_
+#endif  // FLEET_TESTING_PORT_PROCESS_H_
--- a/daemon/testing/resent_calls_test.cc
+++ b/fleet/testing/resent_calls_test.cc
@@ -5,7 +5,7 @@
 #include <memory>
 #include <string>
 
-#include "daemon/testing/fleet_fixture.h"
+#include "fleet/testing/fleet_fixture.h"
 
 namespace cuminjunction {
 namespace {
--- a/daemon/testing/runner_guard_test.cc
+++ b/fleet/testing/runner_guard_test.cc
@@ -1,4 +1,4 @@
-#include "daemon/runner_guard.h"
+#include "fleet/runner_guard.h"
 
 #include <gtest/gtest.h>
 
--- a/daemon/testing/script_planner.h
+++ b/fleet/testing/script_planner.h
@@ -1,5 +1,5 @@
-#ifndef DAEMON_TESTING_SCRIPT_PLANNER_H_
-#define DAEMON_TESTING_SCRIPT_PLANNER_H_
+#ifndef FLEET_TESTING_SCRIPT_PLANNER_H_
+#define FLEET_TESTING_SCRIPT_PLANNER_H_
 
 // A planner for tests of one process: it connects to the process, pings it, and
 // sends and receives what the test says.
@@ -24,7 +24,7 @@
 #include "base/endpoint.h"
 #include "base/event_thread.h"
 #include "base/frame_link.h"
-#include "daemon/fleet_message.h"
+#include "fleet/fleet_message.h"
 
 namespace cuminjunction {
 
@@ -111,4 +111,4 @@
 
 }  // namespace cuminjunction
 
-#endif  // DAEMON_TESTING_SCRIPT_PLANNER_H_
+#endif  // FLEET_TESTING_SCRIPT_PLANNER_H_
--- a/daemon/testing/vacant_workers_test.cc
+++ b/fleet/testing/vacant_workers_test.cc
@@ -1,4 +1,4 @@
-#include "daemon/vacant_workers.h"
+#include "fleet/vacant_workers.h"
 
 #include <gtest/gtest.h>
 
--- a/daemon/vacant_workers.h
+++ b/fleet/vacant_workers.h
@@ -1,5 +1,5 @@
-#ifndef DAEMON_VACANT_WORKERS_H_
-#define DAEMON_VACANT_WORKERS_H_
+#ifndef FLEET_VACANT_WORKERS_H_
+#define FLEET_VACANT_WORKERS_H_
 
 // The workers on which nothing can run, as stored for the next planner.
 //
@@ -83,4 +83,4 @@
 
 }  // namespace cuminjunction
 
-#endif  // DAEMON_VACANT_WORKERS_H_
+#endif  // FLEET_VACANT_WORKERS_H_
--- a/fuzz/planner_input_fuzz.cc
+++ b/fuzz/planner_input_fuzz.cc
@@ -11,7 +11,7 @@
 #include <string_view>
 #include <variant>
 
-#include "daemon/fleet_message.h"
+#include "fleet/fleet_message.h"
 #include "platform/bodies.h"
 #include "submission/scheduler.h"
 
--- a/fuzz/settings_fuzz.cc
+++ b/fuzz/settings_fuzz.cc
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "daemon/settings.h"
+#include "settings/settings.h"
 
 extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
   const std::string text(reinterpret_cast<const char*>(data), size);
--- a/daemon/settings.cc
+++ b/settings/settings.cc
@@ -1,4 +1,4 @@
-#include "daemon/settings.h"
+#include "settings/settings.h"
 
 #include <cmath>
 #include <limits>
--- a/daemon/settings.h
+++ b/settings/settings.h
@@ -1,5 +1,5 @@
-#ifndef DAEMON_SETTINGS_H_
-#define DAEMON_SETTINGS_H_
+#ifndef SETTINGS_SETTINGS_H_
+#define SETTINGS_SETTINGS_H_
 
 // Settings of the daemon, read from a YAML file.
 //
@@ -135,4 +135,4 @@
 
 }  // namespace cuminjunction
 
-#endif  // DAEMON_SETTINGS_H_
+#endif  // SETTINGS_SETTINGS_H_
--- a/testing/soak/faults.cc
+++ b/testing/soak/faults.cc
@@ -7,7 +7,7 @@
 
 #include "absl/time/clock.h"
 #include "base/strings.h"
-#include "daemon/node_row.h"
+#include "fleet/node_row.h"
 
 namespace cuminjunction {
 namespace {
