Add evacuated failure domains to the scheduler

No code reads the operator's evacuation of a failure domain, so that tasks go on starting there. The scheduler now takes the set of evacuated domains and starts nothing in them; the obstacle is called "evacuated" in task_held.

--- a/submission/place.cc
+++ b/submission/place.cc
@@ -55,6 +55,8 @@
     return PlacementObstacle::kNotSynced;
   if (worker.info.draining)
     return PlacementObstacle::kDraining;
+  if (worker.evacuated)
+    return PlacementObstacle::kEvacuated;
   if (worker.info.service != context.service)
     return PlacementObstacle::kOtherService;
   if (worker.avoid_until > now ||
@@ -74,9 +76,9 @@
 
 std::string_view ToString(PlacementObstacle obstacle) {
   static constexpr std::array<std::string_view, kPlacementObstacles> names = {
-      "free",          "unusable",    "not_synced", "draining",
-      "other_service", "avoided",     "label",      "max_per_vm",
-      "no_permit",     "no_capacity", "reserved",   "interference"};
+      "free",          "unusable", "not_synced",  "draining",   "evacuated",
+      "other_service", "avoided",  "label",       "max_per_vm", "no_permit",
+      "no_capacity",   "reserved", "interference"};
   return names.at(static_cast<size_t>(obstacle));
 }
 
--- a/submission/place.h
+++ b/submission/place.h
@@ -56,6 +56,8 @@
   kUnusable,
   kNotSynced,
   kDraining,
+  // The operator has evacuated the VM's failure domain.
+  kEvacuated,
   kOtherService,
   kAvoided,
   kLabel,
--- a/submission/scheduler.h
+++ b/submission/scheduler.h
@@ -31,6 +31,7 @@
 #include "submission/active.h"
 #include "submission/crash.h"
 #include "submission/early_cancellations.h"
+#include "submission/evacuation.h"
 #include "submission/interference_model.h"
 #include "submission/permits.h"
 #include "submission/place.h"
@@ -150,6 +151,10 @@
   // Replaces the configuration if `policy` has a higher version.
   void SetPolicy(const FleetPolicy& policy);
 
+  // Replaces the set of evacuated failure domains. No task starts in one of
+  // them from the next plan on.
+  void SetEvacuations(const EvacuatedDomains& domains, absl::Time now);
+
   // Adds a submission unless it is already present. Returns false, and adds
   // nothing, if it is not well-formed. `now` is of the boot clock, as in all
   // methods, and `wall` of the system clock, at the same moment.
@@ -330,6 +335,7 @@
   struct StepCandidate;
 
   Worker& GetOrAddWorker(const std::string& vm);
+  void SetInfo(Worker* worker, const RunnerInfo& info);
   ActiveSubmission* FindActive(const std::string& id);
   void Place(ActiveSubmission* active,
              const TaskRef& task,
@@ -429,6 +435,7 @@
                                absl::Time now) const;
 
   FleetPolicy policy;
+  EvacuatedDomains evacuated_domains;
   InterferenceModel interference_model;
   Permits permits;
   absl::flat_hash_map<std::string, std::unique_ptr<ActiveSubmission>>
--- a/submission/scheduler_workers.cc
+++ b/submission/scheduler_workers.cc
@@ -50,6 +50,18 @@
                      });
 }
 
+void Scheduler::SetEvacuations(const EvacuatedDomains& domains,
+                               absl::Time /*now*/) {
+  this->evacuated_domains = domains;
+  for (auto& [vm, worker] : this->workers)
+    worker->evacuated = domains.Contains(worker->info.failure_domain);
+}
+
+void Scheduler::SetInfo(Worker* worker, const RunnerInfo& info) {
+  worker->info = info;
+  worker->evacuated = this->evacuated_domains.Contains(info.failure_domain);
+}
+
 void Scheduler::MergeReport(const WorkerReport& report, absl::Time now) {
   Worker& worker = this->GetOrAddWorker(report.vm);
   if (worker.info.born_ms != report.info.born_ms) {
@@ -57,7 +69,7 @@
     worker.avoid_until = absl::InfinitePast();
     worker.isolated_until = absl::InfinitePast();
   }
-  worker.info = report.info;
+  this->SetInfo(&worker, report.info);
   worker.usable = report.alive;
   worker.synced = true;
   if (!report.more_ends)
@@ -108,7 +120,7 @@
                            const RunnerInfo& info,
                            bool alive) {
   Worker& worker = this->GetOrAddWorker(vm);
-  worker.info = info;
+  this->SetInfo(&worker, info);
   worker.usable = alive;
 }
 
--- a/submission/worker.h
+++ b/submission/worker.h
@@ -58,6 +58,8 @@
   bool usable = false;
   // The agent is connected and its full report has been merged.
   bool synced = false;
+  // The operator has evacuated the failure domain of the runner.
+  bool evacuated = false;
   // Time up to which this planner lets the runner continue its runs.
   absl::Time grant_deadline = absl::InfinitePast();
   // The latest such deadline that an earlier planner can have granted.
