Await tasks that end soon instead of stopping them for a long-running one

The choice is a function of its own now. Tasks that are expected to end within a second are awaited, the capacity being reserved meanwhile; then tasks of less urgent queues are stopped first, and those that lose least work.

--- a/submission/scheduler.h
+++ b/submission/scheduler.h
@@ -37,6 +37,7 @@
 #include "submission/place.h"
 #include "submission/placement_search.h"
 #include "submission/policy.h"
+#include "submission/preemption.h"
 #include "submission/progress.h"
 #include "submission/types.h"
 #include "submission/worker.h"
@@ -412,6 +413,9 @@
   bool FitsAfterIsolation(const StepCandidate& candidate, absl::Time now) const;
   void EvacuateDraining(Orders* orders, absl::Time now);
   void MoveInterferingTasks(Orders* orders, absl::Time now);
+  // The tasks on a VM that may be stopped for a long-running one.
+  std::vector<PreemptionCandidate> PreemptionCandidates(const Worker& worker,
+                                                        absl::Time now);
   void Preempt(const StepCandidate& candidate, Orders* orders, absl::Time now);
   bool MayStart(const TaskSlot& slot, absl::Time now) const;
   void OrderStart(StepCandidate* candidate,
--- a/submission/scheduler_plan.cc
+++ b/submission/scheduler_plan.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "submission/place.h"
+#include "submission/preemption.h"
 #include "submission/scheduler.h"
 
 namespace cuminjunction {
@@ -419,6 +420,37 @@
       });
 }
 
+std::vector<PreemptionCandidate> Scheduler::PreemptionCandidates(
+    const Worker& worker,
+    absl::Time now) {
+  std::vector<PreemptionCandidate> candidates;
+  for (const auto& [task, placed] : worker.placed) {
+    if (placed.long_running || placed.stopping)
+      continue;
+    const ActiveSubmission* active = this->FindActive(task.submission);
+    PreemptionCandidate candidate;
+    candidate.task = task;
+    candidate.freed = CountedSize(placed.size, placed.fills);
+    candidate.priority = active == nullptr ? 0 : active->queue.priority;
+    // A checkpointed task saves its progress when it is stopped.
+    if (!placed.checkpointed)
+      candidate.lost_work = placed.size.millicores *
+                            absl::ToInt64Milliseconds(now - placed.placed_at);
+    if (active != nullptr && !placed.fills) {
+      const Step& step = active->submission.steps[task.step];
+      const absl::Duration left =
+          placed.placed_at + absl::Milliseconds(step.estimate_ms) - now;
+      candidate.ends_soon =
+          left > absl::ZeroDuration() && left < kMaxAwaitedEnd;
+    }
+    // The other members of a gang end with the one that is stopped.
+    if (active != nullptr && active->submission.steps[task.step].gang)
+      candidate.lost_work *= active->submission.steps[task.step].count;
+    candidates.push_back(std::move(candidate));
+  }
+  return candidates;
+}
+
 void Scheduler::Preempt(const StepCandidate& candidate,
                         Orders* orders,
                         absl::Time now) {
@@ -426,8 +458,7 @@
   PlacementContext context;
   context.service = candidate.active->queue.service;
   Worker* best = nullptr;
-  std::vector<TaskRef> best_victims;
-  absl::Duration best_loss = absl::InfiniteDuration();
+  std::optional<PreemptionChoice> best_choice;
   for (auto& [vm, worker] : this->workers) {
     context.same_step = 0;
     for (const TaskSlot& other : candidate.Slots().tasks)
@@ -439,34 +470,18 @@
     // Capacity of a worker is reserved for one task at a time.
     if (worker->reserved_until > now)
       continue;
-    std::vector<std::pair<absl::Duration, TaskRef>> losses;
-    for (const auto& [task, placed] : worker->placed) {
-      if (!placed.long_running && !placed.stopping)
-        losses.emplace_back(now - placed.placed_at, task);
-    }
-    std::sort(losses.begin(), losses.end());
-    Size free_capacity = FreeCapacity(*worker);
-    std::vector<TaskRef> victims;
-    absl::Duration loss;
-    for (const auto& [lost, task] : losses) {
-      if (Fits(step.size, free_capacity))
-        break;
-      const PlacedTask& placed = worker->placed.at(task);
-      free_capacity = free_capacity + CountedSize(placed.size, placed.fills);
-      loss += lost;
-      victims.push_back(task);
-    }
-    if (Fits(step.size, free_capacity) && loss < best_loss) {
+    auto choice = ChoosePreemption(step.size, FreeCapacity(*worker),
+                                   this->PreemptionCandidates(*worker, now));
+    if (choice && (!best_choice || choice->cost < best_choice->cost)) {
       best = worker.get();
-      best_victims = std::move(victims);
-      best_loss = loss;
+      best_choice = std::move(choice);
     }
   }
   if (best == nullptr)
     return;
   best->reserved = step.size;
   best->reserved_until = now + kReservationDuration;
-  for (const TaskRef& task : best_victims) {
+  for (const TaskRef& task : best_choice->victims) {
     PlacedTask& placed = best->placed.at(task);
     placed.stopping = true;
     orders->stops.push_back({best->vm, task, placed.run, "preempted"});
