Add the outcomes of starts that an evacuation or their age forbids

A start that an agent refuses because its failure domain is evacuated, or because the order came late, had no outcome of its own and would have been taken for a refusal by the runner. StartOutcome gets kEvacuated and kExpired: the task is placed again with the next plan, and the VM is left out for 1 s or 100 ms, so that it is not chosen again at once. HoldStarts() lets a planner whose knowledge of the evacuations is old plan without starts.

--- a/submission/scheduler.cc
+++ b/submission/scheduler.cc
@@ -17,6 +17,13 @@
 constexpr absl::Duration kAvoidAfterNoCapacity = absl::Milliseconds(250);
 constexpr absl::Duration kAvoidAfterRefusal = absl::Milliseconds(700);
 
+// The planner learns of an evacuation within a second. It does not learn of one
+// of the agent's own failure domain if the runner reports another.
+constexpr absl::Duration kAvoidAfterEvacuated = absl::Seconds(1);
+
+// The next order carries a newer timestamp once the agent has answered a ping.
+constexpr absl::Duration kAvoidAfterExpired = absl::Milliseconds(100);
+
 // A long-running task that fails after it has run for this long is no evidence
 // against its VM.
 constexpr absl::Duration kLongRunIsSound = absl::Seconds(2);
@@ -36,6 +43,26 @@
 
 }  // namespace
 
+std::string_view ToString(StartOutcome outcome) {
+  switch (outcome) {
+    case StartOutcome::kStarted:
+      return "started";
+    case StartOutcome::kNoCapacity:
+      return "no_capacity";
+    case StartOutcome::kRefused:
+      return "refused";
+    case StartOutcome::kStaleRun:
+      return "stale_run";
+    case StartOutcome::kInvalidTicket:
+      return "invalid_ticket";
+    case StartOutcome::kEvacuated:
+      return "evacuated";
+    case StartOutcome::kExpired:
+      return "expired";
+  }
+  return "unknown";
+}
+
 void Scheduler::SetPolicy(const FleetPolicy& policy) {
   if (policy.version <= this->policy.version)
     return;
@@ -197,6 +224,11 @@
                          worker.info.runner);
   else if (start_outcome == StartOutcome::kRefused)
     worker.avoid_until = std::max(worker.avoid_until, now + kAvoidAfterRefusal);
+  else if (start_outcome == StartOutcome::kEvacuated)
+    worker.avoid_until =
+        std::max(worker.avoid_until, now + kAvoidAfterEvacuated);
+  else if (start_outcome == StartOutcome::kExpired)
+    worker.avoid_until = std::max(worker.avoid_until, now + kAvoidAfterExpired);
   ActiveSubmission* active = this->FindActive(task.submission);
   TaskSlot* slot = active == nullptr ? nullptr : FindSlot(active, task);
   if (slot != nullptr && IsPlacedOn(*slot, vm, run)) {
--- a/submission/scheduler.h
+++ b/submission/scheduler.h
@@ -109,8 +109,15 @@
   kStaleRun,
   // The runner rejected the adviser's ticket.
   kInvalidTicket,
+  // The operator has evacuated the VM's failure domain.
+  kEvacuated,
+  // The order came too late, or could not be delivered to the runner in time.
+  kExpired,
 };
 
+// Name of the outcome in logs and metrics.
+std::string_view ToString(StartOutcome outcome);
+
 // A long-running task that has had no run for kHeldAfter.
 struct HeldTask {
   TaskRef task;
@@ -155,6 +162,10 @@
   // them from the next plan on.
   void SetEvacuations(const EvacuatedDomains& domains, absl::Time now);
 
+  // Sets whether plans order no starts, nor stops that make room for one or
+  // move a task. Off at first.
+  void HoldStarts(bool hold) { this->starts_held = hold; }
+
   // Adds a submission unless it is already present. Returns false, and adds
   // nothing, if it is not well-formed. `now` is of the boot clock, as in all
   // methods, and `wall` of the system clock, at the same moment.
@@ -436,6 +447,7 @@
 
   FleetPolicy policy;
   EvacuatedDomains evacuated_domains;
+  bool starts_held = false;
   InterferenceModel interference_model;
   Permits permits;
   absl::flat_hash_map<std::string, std::unique_ptr<ActiveSubmission>>
--- a/submission/scheduler_plan.cc
+++ b/submission/scheduler_plan.cc
@@ -54,6 +54,8 @@
   Orders orders;
   this->AddOccurrences(now);
   this->StopUnwanted(&orders);
+  if (this->starts_held)
+    return orders;
   this->EvacuateDraining(&orders, now);
   ++this->plan_number;
   std::vector<Worker*> by_name;
