Honour evacuated failure domains from the store to the agents

The operator's rows evacuate/ZONE in table op were read by no code. Entries now read the whole table op by pages and follow its feed; the planner takes the set of its own entry, also after a takeover before its first plan, and sends it to the agents with each ping, at once when it changes. Agents refuse starts while the failure domain of their settings or of their runner is evacuated, and abandon those that have not reached the runner.

With the new setting fleet.evacuate_ms, agents refuse and abandon orders whose echoed timestamp is older than a quarter of it, and a planner whose knowledge of the evacuations is older than half of it orders no starts unless no entry reaches the store. The feed then waits for a tenth of the bound at most, so that one lost feed does not stop the starts.

--- a/fleet/fleet_agent.cc
+++ b/fleet/fleet_agent.cc
@@ -4,7 +4,9 @@
 #include <thread>
 #include <utility>
 
+#include "base/strings.h"
 #include "base/time.h"
+#include "fleet/evacuation_guard.h"
 #include "platform/bodies.h"
 #include "platform/calls.h"
 
@@ -88,8 +90,7 @@
               },
           .on_refused =
               [this](const TaskRef& task, uint32_t run, StartOutcome outcome) {
-                this->port->Send(
-                    StartRefused{task, run, static_cast<uint8_t>(outcome)});
+                this->OnStartRefused(task, run, outcome);
               },
           .on_started =
               [this](const TaskRef& task) { this->QueueStartedNotice(task); },
@@ -210,6 +211,7 @@
                        .Add("draining", received.draining)
                        .Add("millicores", received.capacity.millicores));
   this->runner_info = received;
+  this->UpdateEvacuated();
   this->guard->SetProcessors(received.capacity.millicores);
   if (received.draining)
     this->guard->OnRunnerDraining(received.born_ms);
@@ -217,7 +219,41 @@
   return 200;
 }
 
+void FleetAgent::UpdateEvacuated() {
+  EvacuatedDomains own;
+  for (const std::string& domain :
+       {this->settings.failure_domain, this->runner_info.failure_domain}) {
+    if (this->evacuations.Contains(domain))
+      own.names.insert(domain);
+  }
+  if (own == this->own_evacuations)
+    return;
+  this->own_evacuations = std::move(own);
+  const bool evacuated = !this->own_evacuations.names.empty();
+  this->log->Write(LogLine("evacuation_heard")
+                       .Add("domain", evacuated
+                                          ? *this->own_evacuations.names.begin()
+                                          : this->settings.failure_domain)
+                       .Add("evacuated", evacuated)
+                       .Add("epoch", this->port->Epoch()));
+  this->guard->SetEvacuated(evacuated);
+}
+
+void FleetAgent::OnStartRefused(const TaskRef& task,
+                                uint32_t run,
+                                StartOutcome outcome) {
+  this->metrics
+      .GetCounter("agent_starts_refused_total",
+                  StrCat("outcome=\"", ToString(outcome), "\""))
+      .Add();
+  this->port->Send(StartRefused{task, run, static_cast<uint8_t>(outcome)});
+}
+
 void FleetAgent::OnPing(const PlannerPing& ping) {
+  if (ping.evacuated_domains != this->evacuations) {
+    this->evacuations = ping.evacuated_domains;
+    this->UpdateEvacuated();
+  }
   if (ping.grant_ms > 0 && !this->vacated)
     this->guard->SetGrantDeadline(FromMicros(ping.echoed_timestamp_us) +
                                   absl::Milliseconds(ping.grant_ms));
@@ -228,13 +264,17 @@
     return;
   if (const auto* starts = std::get_if<StartRuns>(&message)) {
     this->orders_seen = starts->number;
+    const absl::Time deadline =
+        StartDeadline(starts->echoed_timestamp_us, BootClock().Now(),
+                      absl::Milliseconds(this->settings.fleet.evacuate_ms));
     for (const RunOrder& order : starts->runs) {
       if (order.text >= starts->texts.size()) {
         this->log->Write(LogLine("order_damaged", LogLevel::kError)
                              .Add("submission", order.task.submission));
         continue;
       }
-      this->guard->Start(starts->born_ms, order, starts->texts[order.text]);
+      this->guard->Start(starts->born_ms, order, starts->texts[order.text],
+                         deadline);
     }
   } else if (const auto* stops = std::get_if<StopRuns>(&message)) {
     for (const StopRun& stop : stops->runs)
--- a/fleet/fleet_agent.h
+++ b/fleet/fleet_agent.h
@@ -56,6 +56,10 @@
   void OnMessage(FleetMessage&& message);
   void OnPermitRequest(const PermitRequest& request);
   void OnPing(const PlannerPing& ping);
+  // Tells the guard whether the failure domain of this VM, by the settings or
+  // by the runner, is evacuated.
+  void UpdateEvacuated();
+  void OnStartRefused(const TaskRef& task, uint32_t run, StartOutcome outcome);
   // Sends the planner the runner's data and all its runs.
   void SendRunnerReport();
   // Sends the planner the runner's data without its runs.
@@ -88,6 +92,10 @@
   // when the timer expires.
   StartedNotice started_notice;
   boost::asio::steady_timer started_notice_timer;
+  // The evacuated failure domains, by the last ping.
+  EvacuatedDomains evacuations;
+  // The evacuated ones among the failure domains of this VM.
+  EvacuatedDomains own_evacuations;
   // Number of the last StartRuns received on the planner's connection.
   uint64_t orders_seen = 0;
 };
--- a/fleet/fleet_entry.cc
+++ b/fleet/fleet_entry.cc
@@ -87,8 +87,8 @@
       std::make_unique<Store>(context, StoreOptions{fleet.store, kFleetPart});
   this->planner = std::make_unique<FleetPlanner>(
       context, this->store.get(), this->settings.name,
-      ClaimDelay(fleet.processor_share), this->Retention(), this->log,
-      &this->metrics);
+      ClaimDelay(fleet.processor_share), this->Retention(),
+      absl::Milliseconds(fleet.evacuate_ms), this->log, &this->metrics);
   this->port = std::make_unique<PlannerPort>(
       &this->thread, this->settings.name, this->log,
       PlannerPortHandlers{
@@ -138,8 +138,16 @@
       this->log);
   this->registration->Start();
   this->follower = std::make_unique<PolicyFollower>(
-      context, this->store.get(), this->log, &this->metrics,
-      [this](const FleetPolicy& policy) { this->planner->SetPolicy(policy); });
+      context, this->store.get(), absl::Milliseconds(fleet.evacuate_ms),
+      this->log, &this->metrics,
+      PolicyFollowerHandlers{.on_policy =
+                                 [this](const FleetPolicy& policy) {
+                                   this->planner->SetPolicy(policy);
+                                 },
+                             .on_evacuations =
+                                 [this](const EvacuatedDomains& domains) {
+                                   this->planner->SetEvacuations(domains);
+                                 }});
   this->follower->Start();
   // An earlier process on this VM may just have reported the store as lost.
   this->view.last_unreachable_report = BootClock().Now();
@@ -155,6 +163,7 @@
   this->view.connected = this->port->IsConnected();
   this->view.last_ping = this->port->LastPing();
   this->view.epoch = this->port->Epoch();
+  this->view.evacuations_as_of = this->follower->AsOf();
   this->planner->Tick(this->view);
   const absl::Time now = BootClock().Now();
   while (!this->recently_accepted.empty() &&
--- a/fleet/fleet_message.h
+++ b/fleet/fleet_message.h
@@ -27,6 +27,7 @@
 #include "base/codec.h"
 #include "base/error.h"
 #include "submission/crash.h"
+#include "submission/evacuation.h"
 #include "submission/interference_model.h"
 #include "submission/permits.h"
 #include "submission/types.h"
@@ -54,11 +55,13 @@
   // The planner's commits to the store fail; an entry that reaches the store
   // should take over.
   bool commits_failing = false;
+  // All evacuated failure domains that the planner knows of.
+  EvacuatedDomains evacuated_domains = {};
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->epoch, this->planner, this->echoed_timestamp_us,
-            this->grant_ms, this->commits_failing);
+            this->grant_ms, this->commits_failing, this->evacuated_domains);
   }
 };
 
@@ -118,12 +121,16 @@
   // RunnerInfo::born_ms of the incarnation that the runs are meant for. The
   // next one may have other labels or less capacity.
   int64_t born_ms = 0;
+  // Latest NodePong::timestamp_us that the planner had received from the agent
+  // when it sent this; see StartDeadline().
+  int64_t echoed_timestamp_us = 0;
   std::vector<std::string> texts;
   std::vector<RunOrder> runs;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->epoch, this->number, this->born_ms, this->texts, this->runs);
+    archive(this->epoch, this->number, this->born_ms, this->echoed_timestamp_us,
+            this->texts, this->runs);
   }
 };
 
--- a/fleet/fleet_planner.cc
+++ b/fleet/fleet_planner.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <string_view>
 #include <utility>
 
 #include "base/time.h"
@@ -56,6 +57,10 @@
 // are no longer placed there are removed.
 constexpr size_t kMinSentStarts = 200;
 
+// StopOrder::reason of a long-running task that moves out of an evacuated
+// failure domain.
+constexpr std::string_view kEvacuatedReason = "evacuated";
+
 // Limit of the states in one message.
 constexpr size_t kMaxStatesInMessage = 2000;
 
@@ -70,18 +75,23 @@
                            const std::string& vm,
                            absl::Duration claim_delay,
                            absl::Duration retention,
+                           absl::Duration evacuation_bound,
                            Log* log,
                            Metrics* metrics)
     : context(context),
       store(store),
       vm(vm),
       retention(retention),
+      evacuation_bound(evacuation_bound),
       log(log),
       starts_total(metrics->GetCounter("planner_starts_total")),
       stops_total(metrics->GetCounter("planner_stops_total")),
       ends_total(metrics->GetCounter("planner_ends_total")),
       takeovers_total(metrics->GetCounter("planner_takeovers_total")),
       held_tasks(metrics->GetGauge("planner_held_tasks")),
+      evacuated_domains(metrics->GetGauge("planner_evacuated_domains")),
+      evacuation_moves_total(
+          metrics->GetCounter("planner_evacuation_moves_total")),
       start_wait_seconds(metrics->GetHistogram("planner_start_wait_seconds")),
       store_wait_seconds(metrics->GetHistogram("planner_store_wait_seconds")),
       load_seconds(metrics->GetHistogram("planner_load_seconds")),
@@ -170,6 +180,7 @@
 void FleetPlanner::Tick(const PlannerView& view) {
   const absl::Time now = BootClock().Now();
   this->last_unreachable_report = view.last_unreachable_report;
+  this->evacuations_as_of = view.evacuations_as_of;
   if (view.epoch > this->lease.Epoch())
     this->StepDown();
   if (!this->lease.IsHeld()) {
@@ -195,6 +206,7 @@
   this->SendWaitingCounts(now);
   this->PlanAndSend();
   this->LogHeldTasks(now);
+  this->LogEvacuations(now);
 }
 
 absl::Duration FleetPlanner::CurrentGrant(absl::Time now) const {
@@ -251,6 +263,10 @@
   this->stale_progress.clear();
   this->held_lines.clear();
   this->held_tasks.Set(0);
+  this->evacuated_domains.Set(0);
+  this->logged_evacuations = {};
+  this->evacuation_lines_from = absl::InfiniteFuture();
+  this->starts_held = false;
   this->reading_submissions = false;
   this->feeds_in_progress.clear();
   this->disconnected_since = absl::InfinitePast();
@@ -280,6 +296,7 @@
   if (this->lease.MayBeReleased())
     return;
   const absl::Time plan_start = BootClock().Now();
+  this->UpdateStartsHeld(plan_start);
   const Orders orders = this->scheduler->Plan(plan_start);
   this->SendOrders(orders);
   const std::vector<StateChange> changes = this->scheduler->TakeChanges();
@@ -300,6 +317,7 @@
     SentStarts& node_starts = this->sent_starts[node];
     message->number = ++node_starts.last_number;
     message->born_ms = this->scheduler->FindWorker(node)->info.born_ms;
+    message->echoed_timestamp_us = this->nodes.LatestTimestampUs(node);
     for (const RunOrder& order : message->runs)
       node_starts.runs.push_back({message->number, order.task, order.run});
     this->RemoveEndedStarts(node, &node_starts);
@@ -309,6 +327,8 @@
   std::map<std::string, const std::string*> last_text;
   for (const StopOrder& stop : orders.stops) {
     this->stops_total.Add();
+    if (stop.reason == kEvacuatedReason)
+      this->evacuation_moves_total.Add();
     stops[stop.vm].runs.push_back({stop.task, stop.run});
     this->log->Write(LogLine("stop")
                          .Add("submission", stop.task.submission)
--- a/fleet/fleet_planner.h
+++ b/fleet/fleet_planner.h
@@ -39,6 +39,7 @@
 #include "fleet/planner_nodes.h"
 #include "fleet/vacant_workers.h"
 #include "platform/store.h"
+#include "submission/evacuation.h"
 #include "submission/policy.h"
 #include "submission/prior_starts.h"
 #include "submission/scheduler.h"
@@ -58,6 +59,8 @@
   uint64_t epoch = 0;
   // The planner's last ping reported that its commits fail.
   bool commits_failing = false;
+  // PolicyFollower::AsOf().
+  absl::Time evacuations_as_of = absl::InfinitePast();
 };
 
 // Returns true if no long grant can be in force at `now`. A planner makes long
@@ -70,18 +73,23 @@
  public:
   // The pointers must outlive this object. `claim_delay` is the result of
   // ClaimDelay(). The rows of a submission are removed `retention` after it has
-  // ended.
+  // ended. `evacuation_bound` is FleetSettings::evacuate_ms.
   FleetPlanner(boost::asio::io_context* context,
                Store* store,
                const std::string& vm,
                absl::Duration claim_delay,
                absl::Duration retention,
+               absl::Duration evacuation_bound,
                Log* log,
                Metrics* metrics);
 
   // Sets the configuration. The process does not plan before the first call.
   void SetPolicy(const FleetPolicy& policy);
 
+  // Replaces the set of evacuated failure domains, also for the times when this
+  // process plans later. Tells the agents at once.
+  void SetEvacuations(const EvacuatedDomains& domains);
+
   // Claims the lease if no other entry plans. While this process plans, sends
   // pings, expires grants and queries, and plans.
   void Tick(const PlannerView& view);
@@ -199,6 +207,13 @@
   // Writes lines on the long-running tasks that have had no run for long, with
   // what keeps them from each VM.
   void LogHeldTasks(absl::Time now);
+  // Writes a line for each evacuation that has begun or ended since the last
+  // call. A planner that has just started knows no VMs yet, and waits.
+  void LogEvacuations(absl::Time now);
+  void LogEvacuation(const char* event, const std::string& domain);
+  // Writes a line when the planner stops or resumes ordering starts because its
+  // knowledge of the evacuations is too old.
+  void UpdateStartsHeld(absl::Time now);
   // Writes a line for each crash that counted against the task.
   void LogGivenUp(const GivenUpTask& given_up);
   // Stores that nothing can run on the worker.
@@ -236,6 +251,7 @@
   Store* store;
   std::string vm;
   absl::Duration retention;
+  absl::Duration evacuation_bound;
   Log* log;
   Counter& starts_total;
   Counter& stops_total;
@@ -243,6 +259,10 @@
   Counter& takeovers_total;
   // Long-running tasks that have had no run for kHeldAfter.
   Gauge& held_tasks;
+  // Evacuated failure domains; 0 unless this process plans.
+  Gauge& evacuated_domains;
+  // Long-running tasks that were stopped because their domain is evacuated.
+  Counter& evacuation_moves_total;
   // Time from when a step could start until the order for each of its tasks.
   Histogram& start_wait_seconds;
   // Time from the end of a run, or another change, until it is stored.
@@ -250,6 +270,14 @@
   // Time from the claim of the lease until all tables are loaded.
   Histogram& load_seconds;
   FleetPolicy policy;
+  EvacuatedDomains evacuations;
+  // PlannerView::evacuations_as_of of the last tick.
+  absl::Time evacuations_as_of = absl::InfinitePast();
+  // The evacuations that have a line, and the time from which lines are
+  // written.
+  EvacuatedDomains logged_evacuations;
+  absl::Time evacuation_lines_from = absl::InfiniteFuture();
+  bool starts_held = false;
   PlannerNodes nodes;
   PlannerLease lease;
   boost::asio::steady_timer plan_timer;
--- a/fleet/fleet_planner_load.cc
+++ b/fleet/fleet_planner_load.cc
@@ -33,6 +33,10 @@
 constexpr absl::Duration kEarlyCancellationTime = absl::Seconds(30);
 constexpr size_t kMaxCancellationRemovals = 90;
 
+// Time in which the agents report to a new planner, so that it knows the VMs
+// and their failure domains.
+constexpr absl::Duration kFirstReportsTime = absl::Seconds(2);
+
 constexpr absl::Duration kReadTimeout = absl::Seconds(2);
 constexpr absl::Duration kNodeFeedWait = absl::Seconds(8);
 constexpr std::chrono::milliseconds kRetryDelay(100);
@@ -169,6 +173,10 @@
   const absl::Time wall = SystemClock().Now();
   this->scheduler = std::make_unique<Scheduler>();
   this->scheduler->SetPolicy(this->policy);
+  this->scheduler->SetEvacuations(this->evacuations, now);
+  this->evacuated_domains.Set(
+      static_cast<double>(this->evacuations.names.size()));
+  this->evacuation_lines_from = now + kFirstReportsTime;
   std::map<std::string, Progress> progress;
   size_t damaged = 0;
   const auto rows_of = [&](const char* table) -> const std::vector<StoreRow>& {
--- a/fleet/fleet_planner_messages.cc
+++ b/fleet/fleet_planner_messages.cc
@@ -100,6 +100,11 @@
     this->scheduler->OnStartResult(node, refused->task, refused->run,
                                    static_cast<StartOutcome>(refused->outcome),
                                    now);
+    // The answer brings a newer timestamp for the next order, and the ping the
+    // evacuations that this planner knows of.
+    if (refused->outcome == static_cast<uint8_t>(StartOutcome::kExpired) ||
+        refused->outcome == static_cast<uint8_t>(StartOutcome::kEvacuated))
+      this->nodes.PingNow(node);
   } else if (const auto* started = std::get_if<StartedNotice>(&message)) {
     for (const std::string& id : started->submissions)
       this->scheduler->OnStarted(id);
--- a/fleet/planner_nodes.cc
+++ b/fleet/planner_nodes.cc
@@ -128,6 +128,7 @@
   ping.epoch = this->epoch;
   ping.planner = this->planner;
   ping.commits_failing = this->current_commits_failing;
+  ping.evacuated_domains = this->evacuations;
   const absl::Time now = BootClock().Now();
   if (node->row.is_agent && node->timestamp_us > 0 &&
       this->current_grant > absl::ZeroDuration() &&
@@ -216,6 +217,28 @@
     found->second.link->Send(EncodeFleetMessage(message));
 }
 
+void PlannerNodes::SetEvacuations(const EvacuatedDomains& domains) {
+  this->evacuations = domains;
+  for (auto& [vm, node] : this->nodes) {
+    if (node.row.is_agent && node.answered)
+      this->Ping(vm, &node);
+  }
+}
+
+int64_t PlannerNodes::LatestTimestampUs(const std::string& vm) const {
+  const auto found = this->nodes.find(vm);
+  return found == this->nodes.end() ? 0 : found->second.timestamp_us;
+}
+
+std::vector<std::string> PlannerNodes::Agents() const {
+  std::vector<std::string> agents;
+  for (const auto& [vm, node] : this->nodes) {
+    if (node.row.is_agent)
+      agents.push_back(vm);
+  }
+  return agents;
+}
+
 std::vector<std::string> PlannerNodes::ConnectedAgents() const {
   std::vector<std::string> agents;
   for (const auto& [vm, node] : this->nodes) {
--- a/fleet/planner_nodes.h
+++ b/fleet/planner_nodes.h
@@ -69,6 +69,16 @@
     return this->nodes.contains(vm);
   }
 
+  // Sets the evacuated failure domains that each ping carries, also after the
+  // next Start(), and pings all agents at once.
+  void SetEvacuations(const EvacuatedDomains& domains);
+
+  // Latest NodePong::timestamp_us on the connection to the node; 0 for none.
+  int64_t LatestTimestampUs(const std::string& vm) const;
+
+  // Returns the VMs of all agents, connected or not.
+  std::vector<std::string> Agents() const;
+
   // Adds a node or changes its address, and connects to it.
   void Add(const std::string& vm, const NodeRow& row);
 
@@ -123,6 +133,7 @@
   bool active = false;
   absl::Duration current_grant;
   bool current_commits_failing = false;
+  EvacuatedDomains evacuations;
   std::map<std::string, Node> nodes;
 };
 
--- a/fleet/runner_guard.h
+++ b/fleet/runner_guard.h
@@ -86,13 +86,20 @@
   // keep its runs.
   void SetGrantDeadline(absl::Time deadline);
 
+  // Sets whether the failure domain of the VM is evacuated. While it is, starts
+  // are refused, and those that wait for a call to the runner are abandoned.
+  void SetEvacuated(bool is_evacuated) { this->evacuated = is_evacuated; }
+
   // Starts a run on the incarnation `ordered_born_ms`. Calls on_refused at once
-  // if that is not the present one, while the runner is lost or drains, or if
-  // the grant has less than 300 ms left. While an earlier run of the task may
-  // still run or start there, the start waits until that run is stopped.
+  // if that is not the present one, while the runner is lost or drains, if the
+  // grant has less than 300 ms left, while the failure domain is evacuated or
+  // after `deadline`. While an earlier run of the task may still run or start
+  // there, the start waits until that run is stopped. It is abandoned when it
+  // is not delivered to the runner by the deadline.
   void Start(int64_t ordered_born_ms,
              const RunOrder& order,
-             const std::string& text);
+             const std::string& text,
+             absl::Time deadline = absl::InfiniteFuture());
 
   // Stops a run, and abandons its start if that is pending.
   void Stop(const TaskRef& task, uint32_t run);
@@ -173,6 +180,8 @@
     // The incarnation that the start is meant for.
     std::string incarnation;
     absl::Time ordered_at;
+    // No call that starts the run is sent after this time.
+    absl::Time deadline;
     // The answer to an attempt was lost: the runner may have started the run,
     // or may still do so.
     bool unresolved = false;
@@ -248,6 +257,9 @@
   void SendStart(const TaskRef& task);
   void OnStartReply(const TaskRef& task, uint32_t run, const OrderReply& reply);
   void RetryStart(const TaskRef& task, uint32_t run);
+  // Returns why a start with this deadline must not be sent to the runner now,
+  // if so.
+  std::optional<StartOutcome> ForbiddenStart(absl::Time deadline) const;
   // An earlier run of the task is listed, or its stop has no certain answer.
   bool MayEarlierRunExist(const TaskRef& task, uint32_t run) const;
   void AbandonStart(const TaskRef& task, StartOutcome outcome);
@@ -286,6 +298,8 @@
   bool runs_known = false;
   bool alive = false;
   bool renewing = false;
+  // The failure domain of the VM is evacuated.
+  bool evacuated = false;
   // Time of the first failed renewal since the last one that was answered. A
   // renewal is always in flight and breaks when the runner crashes.
   std::optional<absl::Time> silent_since;
--- a/fleet/runner_guard_starts.cc
+++ b/fleet/runner_guard_starts.cc
@@ -82,10 +82,24 @@
   }
 }
 
+std::optional<StartOutcome> RunnerGuard::ForbiddenStart(
+    absl::Time deadline) const {
+  if (this->evacuated)
+    return StartOutcome::kEvacuated;
+  if (BootClock().Now() > deadline)
+    return StartOutcome::kExpired;
+  return std::nullopt;
+}
+
 void RunnerGuard::Start(int64_t ordered_born_ms,
                         const RunOrder& order,
-                        const std::string& text) {
+                        const std::string& text,
+                        absl::Time deadline) {
   const absl::Time now = BootClock().Now();
+  if (const auto forbidden = this->ForbiddenStart(deadline)) {
+    this->handlers.on_refused(order.task, order.run, *forbidden);
+    return;
+  }
   if (!this->alive || ordered_born_ms != this->born_ms || this->IsDraining() ||
       this->IncarnationId().empty() ||
       this->grant_deadline - now < kMinGrantLeft) {
@@ -105,6 +119,7 @@
   pending.text = text;
   pending.incarnation = this->IncarnationId();
   pending.ordered_at = now;
+  pending.deadline = deadline;
   this->starting[order.task] = std::move(pending);
   this->SendStart(order.task);
 }
@@ -150,9 +165,15 @@
     const auto found = this->starting.find(task);
     if (found == this->starting.end() || found->second.order.run != run)
       return;
+    const PendingStart& pending = found->second;
+    const auto forbidden = this->ForbiddenStart(pending.deadline);
+    const bool may_stop = this->alive && !this->IncarnationId().empty();
+    // A start that the runner may have carried out has to be stopped there.
+    if (forbidden && (may_stop || !pending.unresolved))
+      this->AbandonStart(task, *forbidden);
     // The first list of the next incarnation tells whether the run is there. A
     // heartbeat may have told of it before the list.
-    if (!this->alive || this->IncarnationId().empty())
+    else if (!may_stop)
       this->RetryStart(task, run);
     else if (this->IsDraining())
       this->AbandonStart(task, StartOutcome::kRefused);
--- a/fleet/testing/fleet_planner_test.cc
+++ b/fleet/testing/fleet_planner_test.cc
@@ -134,7 +134,8 @@
         this->context.get(), StoreOptions{this->store->Address(), kFleetPart});
     this->planner = std::make_unique<FleetPlanner>(
         this->context.get(), this->planner_store.get(), "front-1",
-        absl::ZeroDuration(), absl::Hours(1), &this->log, &this->metrics);
+        absl::ZeroDuration(), absl::Hours(1), this->evacuation_bound,
+        &this->log, &this->metrics);
     this->planner->SetPolicy(MakePolicy());
   }
 
@@ -167,6 +168,7 @@
   }
 
   Metrics metrics;
+  absl::Duration evacuation_bound;
   PlannerView view;
   std::unique_ptr<boost::asio::io_context> context;
   std::unique_ptr<Store> planner_store;
--- a/fleet/testing/policy_follower_test.cc
+++ b/fleet/testing/policy_follower_test.cc
@@ -61,10 +61,14 @@
           &this->thread.Context(),
           StoreOptions{this->link->Address(), kFleetPart});
       this->follower = std::make_unique<PolicyFollower>(
-          &this->thread.Context(), this->store.get(), &this->log,
-          &this->metrics, [this](const FleetPolicy& policy) {
-            this->version = policy.version;
-          });
+          &this->thread.Context(), this->store.get(), absl::ZeroDuration(),
+          &this->log, &this->metrics,
+          PolicyFollowerHandlers{
+              .on_policy =
+                  [this](const FleetPolicy& policy) {
+                    this->version = policy.version;
+                  },
+              .on_evacuations = [](const EvacuatedDomains&) {}});
       this->follower->Start();
     });
   }
--- a/settings/settings.cc
+++ b/settings/settings.cc
@@ -10,6 +10,7 @@
 constexpr int64_t kMaxPort = 65535;
 constexpr int64_t kMaxLeaseSeconds = 24 * 3600;
 constexpr int64_t kMaxRetentionMs = 24 * 3600 * 1000;
+constexpr int64_t kMaxEvacuateMs = 3600 * 1000;
 constexpr double kMillicoresPerCore = 1000;
 constexpr double kMibPerGib = 1024;
 
@@ -121,6 +122,7 @@
       "state_retention_ms", fleet.state_retention_ms, 1, kMaxRetentionMs);
   fleet.processor_share =
       map.Double("processor_share", fleet.processor_share, 0.001, 1024);
+  fleet.evacuate_ms = map.Int("evacuate_ms", 0, 0, kMaxEvacuateMs);
   map.Finish();
   return fleet;
 }
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -97,6 +97,9 @@
   int64_t state_retention_ms = 120000;
   // Part of a processor that the process has (entry).
   double processor_share = 1;
+  // Time from the operator's evacuation of a failure domain to the last start
+  // there, in milliseconds; 0 without a bound.
+  int64_t evacuate_ms = 0;
 
   bool operator==(const FleetSettings&) const = default;
   bool IsSet() const { return this->store.port != 0; }
--- a/testing/support/store_standin.cc
+++ b/testing/support/store_standin.cc
@@ -53,7 +53,21 @@
                        const std::string& key,
                        const std::string& value) {
   absl::MutexLock lock(&this->mutex);
-  this->rows[{table, part, key}] = {value, ++this->version};
+  ++this->version;
+  this->PutLocked({table, part, key}, value);
+}
+
+void StoreStandin::PutLocked(const Name& name, const std::string& value) {
+  this->rows[name] = {value, this->version};
+  this->removed.erase(name);
+}
+
+void StoreStandin::Remove(const std::string& table,
+                          const std::string& part,
+                          const std::string& key) {
+  absl::MutexLock lock(&this->mutex);
+  if (this->rows.erase({table, part, key}) > 0)
+    this->removed[{table, part, key}] = ++this->version;
 }
 
 size_t StoreStandin::CountRows(const std::string& table) const {
@@ -89,6 +103,7 @@
 void StoreStandin::Compact() {
   absl::MutexLock lock(&this->mutex);
   this->oldest = ++this->version;
+  this->removed.clear();
 }
 
 void StoreStandin::SetPageSize(size_t value) {
@@ -238,8 +253,7 @@
   for (const json& put : body["setKeys"]) {
     std::string value;
     absl::Base64Unescape(put["value"].get<std::string>(), &value);
-    this->rows[{put["table"], put["part"], put["key"]}] = {value,
-                                                           this->version};
+    this->PutLocked({put["table"], put["part"], put["key"]}, value);
   }
   for (const json& remove : body["remove"])
     this->rows.erase({remove["table"], remove["part"], remove["key"]});
@@ -279,7 +293,10 @@
     if (std::get<0>(name) == table && row.version > after)
       return true;
   }
-  return false;
+  return std::any_of(
+      this->removed.begin(), this->removed.end(), [&](const auto& removal) {
+        return std::get<0>(removal.first) == table && removal.second > after;
+      });
 }
 
 HttpResponse StoreStandin::Feed(const HttpRequest& request) {
@@ -314,6 +331,13 @@
     if (std::get<0>(name) == table && row.version > after)
       changes.emplace(row.version, this->RowJson(name, row));
   }
+  for (const auto& [name, removed_at] : this->removed) {
+    if (std::get<0>(name) != table || removed_at <= after)
+      continue;
+    json row = this->RowJson(name, {"", removed_at});
+    row["deleted"] = true;
+    changes.emplace(removed_at, std::move(row));
+  }
   json list = json::array();
   for (auto& [row_version, row] : changes) {
     if (list.size() < kMaxFeedRows)
--- a/testing/support/store_standin.h
+++ b/testing/support/store_standin.h
@@ -44,6 +44,12 @@
            const std::string& key,
            const std::string& value);
 
+  // Removes a row as another writer would: feeds list it as deleted, until
+  // Compact().
+  void Remove(const std::string& table,
+              const std::string& part,
+              const std::string& key);
+
   // Number of rows in a table.
   size_t CountRows(const std::string& table) const;
 
@@ -56,7 +62,8 @@
   // Answers 503 to every call while set; nothing is done then.
   void SetRefusing(bool refusing);
 
-  // Drops the history: feeds from an earlier version get 410.
+  // Drops the history: feeds from an earlier version get 410, and removed rows
+  // are no longer listed.
   void Compact();
 
   // The most rows in an answer to a read.
@@ -119,11 +126,15 @@
   HttpResponse Feed(const HttpRequest& request);
   // Waits for a change and reads the rows of the answer.
   HttpResponse ReadFeed(const HttpRequest& request);
+  // Called with the mutex held.
+  void PutLocked(const Name& name, const std::string& value);
   nlohmann::json RowJson(const Name& name, const Row& row) const;
   bool HasNewer(const std::string& table, int64_t version) const;
 
   mutable absl::Mutex mutex;
   std::map<Name, Row> rows;
+  // Versions at which rows were removed by Remove().
+  std::map<Name, int64_t> removed;
   int64_t version = 0;
   int64_t oldest = 0;
   size_t page_size = 500;
