Move the queries for permits to a file of their own

TicketFor() and QueryPermits() move to scheduler_permits.cc; QueryPermits() takes the submission and a StepRef. No change of behaviour.

--- a/submission/scheduler.h
+++ b/submission/scheduler.h
@@ -422,8 +422,10 @@
                   Orders* orders,
                   absl::Time now);
 
-  // Queries the adviser for a step that has tasks without a VM.
-  void QueryPermits(const StepCandidate& candidate,
+  // Queries the adviser for a step that has tasks without a VM, or whose tasks
+  // are to move.
+  void QueryPermits(const ActiveSubmission& active,
+                    const StepRef& step_ref,
                     Orders* orders,
                     absl::Time now);
   // Returns the ticket for a step on the worker, empty if it needs none, or
--- a/submission/scheduler_plan.cc
+++ b/submission/scheduler_plan.cc
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 #include "submission/place.h"
@@ -80,7 +79,10 @@
       this->StartStep(&candidate, &order, &unplaceable, &orders, now);
     }
     if (candidate.active->queue.advice.required && candidate.Slots().Idle() > 0)
-      this->QueryPermits(candidate, &orders, now);
+      this->QueryPermits(*candidate.active,
+                         {candidate.active->submission.id, candidate.occurrence,
+                          candidate.step},
+                         &orders, now);
   }
   this->MoveInterferingTasks(&orders, now);
   return orders;
@@ -200,47 +202,6 @@
   return best;
 }
 
-const std::string* Scheduler::TicketFor(const ActiveSubmission& active,
-                                        uint32_t occurrence,
-                                        uint32_t step,
-                                        const Worker& worker,
-                                        absl::Time now) const {
-  static const std::string none;
-  if (!active.queue.advice.required)
-    return &none;
-  return this->permits.Find({active.submission.id, occurrence, step},
-                            worker.info, now);
-}
-
-void Scheduler::QueryPermits(const StepCandidate& candidate,
-                             Orders* orders,
-                             absl::Time now) {
-  PlacementContext context;
-  context.service = candidate.active->queue.service;
-  std::vector<std::pair<double, const RunnerInfo*>> usable;
-  for (const auto& [vm, worker] : this->workers) {
-    const auto cost =
-        this->CostOn(worker.get(), candidate.Spec(), context, now);
-    if (cost)
-      usable.emplace_back(*cost, &worker->info);
-    else if (IsEligible(candidate.Spec(), context, *worker, now))
-      // A full VM may have free capacity later.
-      usable.emplace_back(std::numeric_limits<double>::max(), &worker->info);
-  }
-  std::stable_sort(
-      usable.begin(), usable.end(),
-      [](const auto& a, const auto& b) { return a.first < b.first; });
-  std::vector<const RunnerInfo*> runners;
-  runners.reserve(usable.size());
-  for (const auto& [cost, runner] : usable)
-    runners.push_back(runner);
-  auto query = this->permits.NextQuery(
-      {candidate.active->submission.id, candidate.occurrence, candidate.step},
-      runners, now);
-  if (query)
-    orders->queries.push_back(std::move(*query));
-}
-
 void Scheduler::StartStep(StepCandidate* candidate,
                           WorkerOrder* order,
                           UnplaceableShapes* unplaceable,
