Return evacuated domains step by step, and choose cold runners last

After an evacuation all VMs of the domain are empty and many of their runners cold, so that every task of a burst would start on them at once. The state is kept by domain, so that a restarted runner does not change it; a new planner that has not had a domain in its set uses its whole capacity at once.

RunnerInfo has one more field on the wire between agents and planner.

--- a/submission/place.cc
+++ b/submission/place.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 
+#include "submission/evacuation.h"
+
 namespace cuminjunction {
 
 namespace {
@@ -36,8 +38,8 @@
 }
 
 // Capacity for filling tasks: what other tasks are expected to leave unused.
-Size FillingCapacity(const Worker& worker) {
-  Size free_capacity = FreeCapacity(worker);
+Size FillingCapacity(const Worker& worker, absl::Time now) {
+  Size free_capacity = FreeCapacity(worker, now);
   free_capacity.millicores +=
       static_cast<int64_t>((1 - kServingUtilization) *
                            static_cast<double>(worker.serving_millicores)) -
@@ -131,8 +133,17 @@
   return std::max(0.0, max_ratio - kMaxPlacementLatencyRatio);
 }
 
-Size FreeCapacity(const Worker& worker) {
-  return worker.info.capacity - worker.used;
+Size FreeCapacity(const Worker& worker, absl::Time now) {
+  const double share = OfferedShare(worker.full_capacity_at, now);
+  if (share >= 1)
+    return worker.info.capacity - worker.used;
+  const auto part_of = [share](int64_t amount) {
+    return static_cast<int64_t>(share * static_cast<double>(amount));
+  };
+  const Size& whole = worker.info.capacity;
+  const Size offered{part_of(whole.millicores), part_of(whole.memory_mib),
+                     part_of(whole.accelerators)};
+  return offered - worker.used;
 }
 
 bool IsEligible(const Step& step,
@@ -153,7 +164,7 @@
   if (obstacle != PlacementObstacle::kNone)
     return obstacle;
   const Size free_capacity =
-      step.fills ? FillingCapacity(worker) : FreeCapacity(worker);
+      step.fills ? FillingCapacity(worker, now) : FreeCapacity(worker, now);
   if (!Fits(step.size, free_capacity))
     return PlacementObstacle::kNoCapacity;
   if (!step.long_running && worker.reserved_until > now &&
@@ -174,7 +185,7 @@
   if (!IsEligible(step, context, worker, now))
     return std::nullopt;
   Size free_capacity =
-      step.fills ? FillingCapacity(worker) : FreeCapacity(worker);
+      step.fills ? FillingCapacity(worker, now) : FreeCapacity(worker, now);
   if (!step.long_running && worker.reserved_until > now)
     free_capacity = free_capacity - worker.reserved;
   if (!Fits(step.size, free_capacity))
@@ -191,6 +202,8 @@
   }
   if (context.failed_here)
     cost += kFailedHereWeight;
+  if (worker.info.cold)
+    cost += kColdWeight;
   const std::string& rack = RackOf(worker.info);
   if (!step.data_rack.empty() && rack != step.data_rack)
     cost += kOtherRackWeight;
--- a/submission/place.h
+++ b/submission/place.h
@@ -35,6 +35,10 @@
 // VM with the same image cheaper than an empty one.
 inline constexpr double kOtherImageWeight = 1.5;
 
+// A cold runner is chosen after warm ones with room, and before a VM where the
+// task has failed.
+inline constexpr double kColdWeight = 50;
+
 // State of the task that the placement depends on, besides its step.
 struct PlacementContext {
   std::string service;
@@ -118,7 +122,9 @@
                           const InterferenceModel& interference_model,
                           bool already_running);
 
-Size FreeCapacity(const Worker& worker);
+// Capacity that the VM offers to new tasks; negative for a VM of a returning
+// domain that runs more than it offers.
+Size FreeCapacity(const Worker& worker, absl::Time now);
 
 }  // namespace cuminjunction
 
--- a/submission/scheduler.h
+++ b/submission/scheduler.h
@@ -152,7 +152,10 @@
   void SetPolicy(const FleetPolicy& policy);
 
   // Replaces the set of evacuated failure domains. No task starts in one of
-  // them from the next plan on.
+  // them from the next plan on. A domain that is no longer in the set returns;
+  // see evacuation.h. A scheduler that has not had a domain in its set does not
+  // know when its evacuation ended, and uses the whole capacity of its VMs at
+  // once.
   void SetEvacuations(const EvacuatedDomains& domains, absl::Time now);
 
   // Adds a submission unless it is already present. Returns false, and adds
@@ -336,6 +339,7 @@
 
   Worker& GetOrAddWorker(const std::string& vm);
   void SetInfo(Worker* worker, const RunnerInfo& info);
+  void ApplyEvacuations(Worker* worker);
   ActiveSubmission* FindActive(const std::string& id);
   void Place(ActiveSubmission* active,
              const TaskRef& task,
@@ -438,6 +442,7 @@
 
   FleetPolicy policy;
   EvacuatedDomains evacuated_domains;
+  DomainReturns domain_returns;
   InterferenceModel interference_model;
   Permits permits;
   absl::flat_hash_map<std::string, std::unique_ptr<ActiveSubmission>>
--- a/submission/scheduler_plan.cc
+++ b/submission/scheduler_plan.cc
@@ -397,8 +397,9 @@
         this->TicketFor(*candidate.active, candidate.occurrence, candidate.step,
                         *worker, now) == nullptr)
       continue;
-    // Capacity of a worker is reserved for one task at a time.
-    if (worker->reserved_until > now)
+    // Capacity of a worker is reserved for one task at a time. A VM of a
+    // returning domain offers more capacity without stopping work.
+    if (worker->reserved_until > now || worker->full_capacity_at > now)
       continue;
     std::vector<std::pair<absl::Duration, TaskRef>> losses;
     for (const auto& [task, placed] : worker->placed) {
@@ -406,7 +407,7 @@
         losses.emplace_back(now - placed.placed_at, task);
     }
     std::sort(losses.begin(), losses.end());
-    Size free_capacity = FreeCapacity(*worker);
+    Size free_capacity = FreeCapacity(*worker, now);
     std::vector<TaskRef> victims;
     absl::Duration loss;
     for (const auto& [lost, task] : losses) {
--- a/submission/scheduler_workers.cc
+++ b/submission/scheduler_workers.cc
@@ -51,15 +51,23 @@
 }
 
 void Scheduler::SetEvacuations(const EvacuatedDomains& domains,
-                               absl::Time /*now*/) {
+                               absl::Time now) {
+  this->domain_returns =
+      this->domain_returns.After(this->evacuated_domains, domains, now);
   this->evacuated_domains = domains;
   for (auto& [vm, worker] : this->workers)
-    worker->evacuated = domains.Contains(worker->info.failure_domain);
+    this->ApplyEvacuations(worker.get());
+}
+
+void Scheduler::ApplyEvacuations(Worker* worker) {
+  const std::string& domain = worker->info.failure_domain;
+  worker->evacuated = this->evacuated_domains.Contains(domain);
+  worker->full_capacity_at = this->domain_returns.FullCapacityAt(domain);
 }
 
 void Scheduler::SetInfo(Worker* worker, const RunnerInfo& info) {
   worker->info = info;
-  worker->evacuated = this->evacuated_domains.Contains(info.failure_domain);
+  this->ApplyEvacuations(worker);
 }
 
 void Scheduler::MergeReport(const WorkerReport& report, absl::Time now) {
--- a/submission/types.h
+++ b/submission/types.h
@@ -216,13 +216,15 @@
   // The runner's kind and its rack.
   std::vector<std::string> labels;
   bool draining = false;
+  // The runner's tasks are slow until it has warmed up.
+  bool cold = false;
 
   bool operator==(const RunnerInfo&) const = default;
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->runner, this->born_ms, this->service, this->failure_domain,
-            this->capacity, this->labels, this->draining);
+            this->capacity, this->labels, this->draining, this->cold);
   }
 };
 
--- a/submission/worker.h
+++ b/submission/worker.h
@@ -60,6 +60,9 @@
   bool synced = false;
   // The operator has evacuated the failure domain of the runner.
   bool evacuated = false;
+  // The evacuation of the domain has ended a short time ago; up to this time
+  // the VM offers a part of its capacity. See OfferedShare().
+  absl::Time full_capacity_at = absl::InfinitePast();
   // Time up to which this planner lets the runner continue its runs.
   absl::Time grant_deadline = absl::InfinitePast();
   // The latest such deadline that an earlier planner can have granted.
