Move long-running tasks out of evacuated domains

Tasks that do not end by themselves stayed in an evacuated domain without limit. The planner now stops them there, at most 3 in a plan and 8 at a time, so that they start in another domain. submission/evacuation_moves.h decides which: a task is stopped only if its run has been up for 3 s, no more than max_unavailable tasks of its step and occurrence are then unavailable, and a warm VM elsewhere has room that no other stopped or waiting long-running task needs. That room is held in the plan, so that work that does not last does not take it. Gangs and crash suspects stay.

A task counts as unavailable unless it certainly works: one without a run, on a silent VM, started less than 3 s ago, reported by a worker after a takeover less than 5 s ago (an agent may still repeat a stop of the planner before), or with an ordered stop, also after a report has cleared `stopping`. A planner that has not planned for 1 s stops nothing for another second, since it has not read its messages yet. Once a domain has been evacuated, moves of long-running filling tasks ("disturbs") keep to the same count; without evacuations they are as before. Steps of restricted queues get queries for permits also when only their running tasks need a VM.

Draining runners are not limited: their tasks end with them.

--- a/submission/place.cc
+++ b/submission/place.cc
@@ -47,6 +47,17 @@
   return free_capacity;
 }
 
+// Capacity of the VM that is kept for others.
+Size ReservedCapacity(const Step& step,
+                      const PlacementContext& context,
+                      const Worker& worker,
+                      absl::Time now) {
+  const bool keeps_reserved = !step.long_running || context.keeps_reserved;
+  return keeps_reserved && worker.reserved_until > now
+             ? worker.held_for_moves + worker.reserved
+             : worker.held_for_moves;
+}
+
 PlacementObstacle FindEligibilityObstacle(const Step& step,
                                           const PlacementContext& context,
                                           const Worker& worker,
@@ -167,8 +178,8 @@
       step.fills ? FillingCapacity(worker, now) : FreeCapacity(worker, now);
   if (!Fits(step.size, free_capacity))
     return PlacementObstacle::kNoCapacity;
-  if (!step.long_running && worker.reserved_until > now &&
-      !Fits(step.size, free_capacity - worker.reserved))
+  if (!Fits(step.size,
+            free_capacity - ReservedCapacity(step, context, worker, now)))
     return PlacementObstacle::kReserved;
   if (step.fills && context.can_wait &&
       ExcessLatencyRatio(step, worker, interference_model,
@@ -184,11 +195,10 @@
                                     absl::Time now) {
   if (!IsEligible(step, context, worker, now))
     return std::nullopt;
-  Size free_capacity =
+  const Size free_capacity =
       step.fills ? FillingCapacity(worker, now) : FreeCapacity(worker, now);
-  if (!step.long_running && worker.reserved_until > now)
-    free_capacity = free_capacity - worker.reserved;
-  if (!Fits(step.size, free_capacity))
+  if (!Fits(step.size,
+            free_capacity - ReservedCapacity(step, context, worker, now)))
     return std::nullopt;
   const double excess_ratio = ExcessLatencyRatio(
       step, worker, interference_model, /*already_running=*/false);
--- a/submission/place.h
+++ b/submission/place.h
@@ -50,6 +50,9 @@
   bool can_wait = false;
   // The task does not wait until a suspect on the VM is no longer kept apart.
   bool ignores_isolation = false;
+  // The task leaves alone what is reserved for tasks that wait, as a task that
+  // does not run for long does.
+  bool keeps_reserved = false;
   // Rack of the step's other tasks if the step wants a single rack; else empty.
   std::string rack;
 };
--- a/submission/scheduler.cc
+++ b/submission/scheduler.cc
@@ -167,6 +167,7 @@
   placed.long_running = step.long_running;
   placed.checkpointed = step.checkpointed;
   placed.placed_at = now;
+  placed.works_from = now + kStartUpTime;
   Occupy(worker, task, placed);
 }
 
--- a/submission/scheduler.h
+++ b/submission/scheduler.h
@@ -32,6 +32,7 @@
 #include "submission/crash.h"
 #include "submission/early_cancellations.h"
 #include "submission/evacuation.h"
+#include "submission/evacuation_moves.h"
 #include "submission/interference_model.h"
 #include "submission/permits.h"
 #include "submission/place.h"
@@ -152,10 +153,10 @@
   void SetPolicy(const FleetPolicy& policy);
 
   // Replaces the set of evacuated failure domains. No task starts in one of
-  // them from the next plan on. A domain that is no longer in the set returns;
-  // see evacuation.h. A scheduler that has not had a domain in its set does not
-  // know when its evacuation ended, and uses the whole capacity of its VMs at
-  // once.
+  // them from the next plan on, and long-running tasks move away. A domain that
+  // is no longer in the set returns; see evacuation.h. A scheduler that has not
+  // had a domain in its set does not know when its evacuation ended, and uses
+  // the whole capacity of its VMs at once.
   void SetEvacuations(const EvacuatedDomains& domains, absl::Time now);
 
   // Adds a submission unless it is already present. Returns false, and adds
@@ -415,6 +416,21 @@
   // started there is no longer kept apart.
   bool FitsAfterIsolation(const StepCandidate& candidate, absl::Time now) const;
   void EvacuateDraining(Orders* orders, absl::Time now);
+  // Holds room for the long-running tasks that are being stopped, and returns
+  // their number; nullopt if no task may be stopped for an evacuation now:
+  // there is none, one of those tasks has no room, or the planner has stalled.
+  std::optional<size_t> HoldRoomForMoves(absl::Time now);
+  // Holds room for the long-running tasks that wait, as far as there is any.
+  // Returns false if too many wait.
+  bool HoldRoomForWaitingTasks(absl::Time now);
+  // Holds room for one more task of the step on a warm VM. Returns false if
+  // there is none, and sets `lacks_permit` if a VM has room but no permit.
+  bool HoldRoom(const ActiveSubmission& active,
+                const StepRef& step_ref,
+                absl::Time now,
+                bool* lacks_permit = nullptr);
+  // Stops long-running tasks in evacuated domains; see evacuation_moves.h.
+  void MoveEvacuated(size_t moves_under_way, Orders* orders, absl::Time now);
   void MoveInterferingTasks(Orders* orders, absl::Time now);
   void Preempt(const StepCandidate& candidate, Orders* orders, absl::Time now);
   bool MayStart(const TaskSlot& slot, absl::Time now) const;
@@ -442,6 +458,8 @@
 
   FleetPolicy policy;
   EvacuatedDomains evacuated_domains;
+  // A domain has been in the set.
+  bool had_evacuations = false;
   DomainReturns domain_returns;
   InterferenceModel interference_model;
   Permits permits;
@@ -458,6 +476,9 @@
   std::vector<StateChange> changes;
   std::vector<GivenUpTask> given_up;
   absl::Time next_move = absl::InfinitePast();
+  absl::Time last_plan = absl::InfinitePast();
+  // No task is stopped for an evacuation before this time; see kMaxPlanGap.
+  absl::Time next_evacuation_move = absl::InfinitePast();
   uint64_t plan_number = 0;
   // Runs that must be stopped: those of unknown or final submissions, stale
   // ones, and second runs of a task that is done.
--- a/submission/scheduler_plan.cc
+++ b/submission/scheduler_plan.cc
@@ -55,6 +55,7 @@
   this->StopUnwanted(&orders);
   this->EvacuateDraining(&orders, now);
   ++this->plan_number;
+  std::optional<size_t> moves_under_way = this->HoldRoomForMoves(now);
   std::vector<Worker*> by_name;
   by_name.reserve(this->workers.size());
   for (auto& [vm, worker] : this->workers)
@@ -68,6 +69,11 @@
                      return a.rank < b.rank;
                    });
   for (StepCandidate& candidate : candidates) {
+    // Moved tasks need room before work that does not last, and after
+    // long-running tasks that wait.
+    if (moves_under_way && candidate.rank.not_long_running)
+      this->MoveEvacuated(*std::exchange(moves_under_way, std::nullopt),
+                          &orders, now);
     if (orders.starts.size() >= kMaxStartsInPlan) {
       orders.more = true;
       return orders;
@@ -84,6 +90,8 @@
                           candidate.step},
                          &orders, now);
   }
+  if (moves_under_way)
+    this->MoveEvacuated(*moves_under_way, &orders, now);
   this->MoveInterferingTasks(&orders, now);
   return orders;
 }
@@ -103,7 +111,7 @@
       continue;
     const auto placed = worker.placed.find(stop.task);
     if (placed != worker.placed.end())
-      placed->second.stopping = true;
+      MarkStopping(&placed->second);
     orders->stops.push_back(std::move(stop));
   }
   this->unwanted.clear();
@@ -407,7 +415,7 @@
         losses.emplace_back(now - placed.placed_at, task);
     }
     std::sort(losses.begin(), losses.end());
-    Size free_capacity = FreeCapacity(*worker, now);
+    Size free_capacity = FreeCapacity(*worker, now) - worker->held_for_moves;
     std::vector<TaskRef> victims;
     absl::Duration loss;
     for (const auto& [lost, task] : losses) {
@@ -430,7 +438,7 @@
   best->reserved_until = now + kReservationDuration;
   for (const TaskRef& task : best_victims) {
     PlacedTask& placed = best->placed.at(task);
-    placed.stopping = true;
+    MarkStopping(&placed);
     orders->stops.push_back({best->vm, task, placed.run, "preempted"});
   }
 }
--- a/submission/scheduler_workers.cc
+++ b/submission/scheduler_workers.cc
@@ -55,6 +55,7 @@
   this->domain_returns =
       this->domain_returns.After(this->evacuated_domains, domains, now);
   this->evacuated_domains = domains;
+  this->had_evacuations = this->had_evacuations || !domains.names.empty();
   for (auto& [vm, worker] : this->workers)
     this->ApplyEvacuations(worker.get());
 }
@@ -95,8 +96,11 @@
     if (active != nullptr && !running.starting)
       active->started = true;
     if (slot != nullptr && IsPlacedOn(*slot, report.vm, running.run)) {
+      PlacedTask& placed = worker.placed.at(task);
       // A stop that was sent may have been lost with the connection.
-      worker.placed.at(task).stopping = false;
+      placed.stopping = false;
+      if (running.starting)
+        placed.works_from = now + kStartUpTime;
       continue;
     }
     // A run with a lower number than one that this planner has ordered is
@@ -111,6 +115,7 @@
       continue;
     }
     this->Place(active, task, slot, &worker, running.run, now);
+    worker.placed.at(task).works_from = now + kReportedRunSettles;
     if (active->state == SubmissionState::kQueued) {
       active->state = SubmissionState::kRunning;
       this->changes.push_back({task.submission, active->state});
--- a/submission/worker.h
+++ b/submission/worker.h
@@ -32,7 +32,12 @@
   bool long_running = false;
   bool checkpointed = false;
   bool stopping = false;
+  // A stop of the run was ordered. It may still be carried out after a report
+  // of the run has cleared `stopping`.
+  bool stop_ordered = false;
   absl::Time placed_at;
+  // Before this time a long-running task may not work yet; see kStartUpTime.
+  absl::Time works_from = absl::InfinitePast();
 };
 
 // Sums over the tasks of one image on a VM.
@@ -92,6 +97,9 @@
   // stopped to make space for it.
   Size reserved;
   absl::Time reserved_until = absl::InfinitePast();
+  // Capacity held in this plan for tasks that are being stopped in an evacuated
+  // failure domain.
+  Size held_for_moves;
   std::map<TaskRef, PlacedTask> placed;
   // Runs, by task and run number, that the worker has reported beside the
   // task's current one, and that may run until their end is reported.
@@ -107,6 +115,12 @@
 void Occupy(Worker* worker, const TaskRef& task, const PlacedTask& placed);
 void Vacate(Worker* worker, const TaskRef& task);
 
+// Records that a stop of the run is ordered.
+inline void MarkStopping(PlacedTask* placed) {
+  placed->stopping = true;
+  placed->stop_ordered = true;
+}
+
 // The label of the runner that names its rack, or empty. The labels are the
 // runner's kind and its rack, in this order.
 const std::string& RackOf(const RunnerInfo& info);
