--- a/submission/scheduler.h
+++ b/submission/scheduler.h
@@ -32,6 +32,7 @@
 #include "submission/crash.h"
 #include "submission/early_cancellations.h"
 #include "submission/evacuation.h"
+#include "submission/evacuation_moves.h"
 #include "submission/interference_model.h"
 #include "submission/permits.h"
 #include "submission/place.h"
@@ -160,7 +161,10 @@
   void SetPolicy(const FleetPolicy& policy);
 
   // Replaces the set of evacuated failure domains. No task starts in one of
-  // them from the next plan on.
+  // them from the next plan on, and long-running tasks move away. A domain that
+  // is no longer in the set returns; see evacuation.h. A scheduler that has not
+  // had a domain in its set does not know when its evacuation ended, and uses
+  // the whole capacity of its VMs at once.
   void SetEvacuations(const EvacuatedDomains& domains, absl::Time now);
 
   // Sets whether plans order no starts, nor stops that make room for one or
@@ -348,6 +352,7 @@
 
   Worker& GetOrAddWorker(const std::string& vm);
   void SetInfo(Worker* worker, const RunnerInfo& info);
+  void ApplyEvacuations(Worker* worker);
   ActiveSubmission* FindActive(const std::string& id);
   void Place(ActiveSubmission* active,
              const TaskRef& task,
@@ -423,6 +428,21 @@
   // started there is no longer kept apart.
   bool FitsAfterIsolation(const StepCandidate& candidate, absl::Time now) const;
   void EvacuateDraining(Orders* orders, absl::Time now);
+  // Holds room for the long-running tasks that are being stopped, and returns
+  // their number; nullopt if no task may be stopped for an evacuation now:
+  // there is none, one of those tasks has no room, or the planner has stalled.
+  std::optional<size_t> HoldRoomForMoves(absl::Time now);
+  // Holds room for the long-running tasks that wait, as far as there is any.
+  // Returns false if too many wait.
+  bool HoldRoomForWaitingTasks(absl::Time now);
+  // Holds room for one more task of the step on a warm VM. Returns false if
+  // there is none, and sets `lacks_permit` if a VM has room but no permit.
+  bool HoldRoom(const ActiveSubmission& active,
+                const StepRef& step_ref,
+                absl::Time now,
+                bool* lacks_permit = nullptr);
+  // Stops long-running tasks in evacuated domains; see evacuation_moves.h.
+  void MoveEvacuated(size_t moves_under_way, Orders* orders, absl::Time now);
   void MoveInterferingTasks(Orders* orders, absl::Time now);
   // The tasks on a VM that may be stopped for a long-running one.
   std::vector<PreemptionCandidate> PreemptionCandidates(const Worker& worker,
@@ -437,8 +457,10 @@
                   Orders* orders,
                   absl::Time now);
 
-  // Queries the adviser for a step that has tasks without a VM.
-  void QueryPermits(const StepCandidate& candidate,
+  // Queries the adviser for a step that has tasks without a VM, or whose tasks
+  // are to move.
+  void QueryPermits(const ActiveSubmission& active,
+                    const StepRef& step_ref,
                     Orders* orders,
                     absl::Time now);
   // Returns the ticket for a step on the worker, empty if it needs none, or
@@ -452,6 +474,9 @@
   FleetPolicy policy;
   EvacuatedDomains evacuated_domains;
   bool starts_held = false;
+  // A domain has been in the set.
+  bool had_evacuations = false;
+  DomainReturns domain_returns;
   InterferenceModel interference_model;
   Permits permits;
   absl::flat_hash_map<std::string, std::unique_ptr<ActiveSubmission>>
@@ -467,6 +492,9 @@
   std::vector<StateChange> changes;
   std::vector<GivenUpTask> given_up;
   absl::Time next_move = absl::InfinitePast();
+  absl::Time last_plan = absl::InfinitePast();
+  // No task is stopped for an evacuation before this time; see kMaxPlanGap.
+  absl::Time next_evacuation_move = absl::InfinitePast();
   uint64_t plan_number = 0;
   // Runs that must be stopped: those of unknown or final submissions, stale
   // ones, and second runs of a task that is done.
--- a/submission/scheduler_plan.cc
+++ b/submission/scheduler_plan.cc
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 #include "submission/place.h"
@@ -59,6 +58,7 @@
     return orders;
   this->EvacuateDraining(&orders, now);
   ++this->plan_number;
+  std::optional<size_t> moves_under_way = this->HoldRoomForMoves(now);
   std::vector<Worker*> by_name;
   by_name.reserve(this->workers.size());
   for (auto& [vm, worker] : this->workers)
@@ -72,6 +72,11 @@
                      return a.rank < b.rank;
                    });
   for (StepCandidate& candidate : candidates) {
+    // Moved tasks need room before work that does not last, and after
+    // long-running tasks that wait.
+    if (moves_under_way && candidate.rank.not_long_running)
+      this->MoveEvacuated(*std::exchange(moves_under_way, std::nullopt),
+                          &orders, now);
     if (orders.starts.size() >= kMaxStartsInPlan) {
       orders.more = true;
       return orders;
@@ -83,8 +88,13 @@
       this->StartStep(&candidate, &order, &unplaceable, &orders, now);
     }
     if (candidate.active->queue.advice.required && candidate.Slots().Idle() > 0)
-      this->QueryPermits(candidate, &orders, now);
+      this->QueryPermits(*candidate.active,
+                         {candidate.active->submission.id, candidate.occurrence,
+                          candidate.step},
+                         &orders, now);
   }
+  if (moves_under_way)
+    this->MoveEvacuated(*moves_under_way, &orders, now);
   this->MoveInterferingTasks(&orders, now);
   return orders;
 }
@@ -104,7 +114,7 @@
       continue;
     const auto placed = worker.placed.find(stop.task);
     if (placed != worker.placed.end())
-      placed->second.stopping = true;
+      MarkStopping(&placed->second);
     orders->stops.push_back(std::move(stop));
   }
   this->unwanted.clear();
@@ -203,47 +213,6 @@
   return best;
 }
 
-const std::string* Scheduler::TicketFor(const ActiveSubmission& active,
-                                        uint32_t occurrence,
-                                        uint32_t step,
-                                        const Worker& worker,
-                                        absl::Time now) const {
-  static const std::string none;
-  if (!active.queue.advice.required)
-    return &none;
-  return this->permits.Find({active.submission.id, occurrence, step},
-                            worker.info, now);
-}
-
-void Scheduler::QueryPermits(const StepCandidate& candidate,
-                             Orders* orders,
-                             absl::Time now) {
-  PlacementContext context;
-  context.service = candidate.active->queue.service;
-  std::vector<std::pair<double, const RunnerInfo*>> usable;
-  for (const auto& [vm, worker] : this->workers) {
-    const auto cost =
-        this->CostOn(worker.get(), candidate.Spec(), context, now);
-    if (cost)
-      usable.emplace_back(*cost, &worker->info);
-    else if (IsEligible(candidate.Spec(), context, *worker, now))
-      // A full VM may have free capacity later.
-      usable.emplace_back(std::numeric_limits<double>::max(), &worker->info);
-  }
-  std::stable_sort(
-      usable.begin(), usable.end(),
-      [](const auto& a, const auto& b) { return a.first < b.first; });
-  std::vector<const RunnerInfo*> runners;
-  runners.reserve(usable.size());
-  for (const auto& [cost, runner] : usable)
-    runners.push_back(runner);
-  auto query = this->permits.NextQuery(
-      {candidate.active->submission.id, candidate.occurrence, candidate.step},
-      runners, now);
-  if (query)
-    orders->queries.push_back(std::move(*query));
-}
-
 void Scheduler::StartStep(StepCandidate* candidate,
                           WorkerOrder* order,
                           UnplaceableShapes* unplaceable,
@@ -469,11 +438,13 @@
         this->TicketFor(*candidate.active, candidate.occurrence, candidate.step,
                         *worker, now) == nullptr)
       continue;
-    // Capacity of a worker is reserved for one task at a time.
-    if (worker->reserved_until > now)
+    // Capacity of a worker is reserved for one task at a time. A VM of a
+    // returning domain offers more capacity without stopping work.
+    if (worker->reserved_until > now || worker->full_capacity_at > now)
       continue;
-    auto choice = ChoosePreemption(step.size, FreeCapacity(*worker),
-                                   this->PreemptionCandidates(*worker, now));
+    auto choice = ChoosePreemption(
+        step.size, FreeCapacity(*worker, now) - worker->held_for_moves,
+        this->PreemptionCandidates(*worker, now));
     if (choice && (!best_choice || choice->cost < best_choice->cost)) {
       best = worker.get();
       best_choice = std::move(choice);
@@ -485,7 +456,7 @@
   best->reserved_until = now + kReservationDuration;
   for (const TaskRef& task : best_choice->victims) {
     PlacedTask& placed = best->placed.at(task);
-    placed.stopping = true;
+    MarkStopping(&placed);
     orders->stops.push_back({best->vm, task, placed.run, "preempted"});
   }
 }
