Test evacuated failure domains from the store to the agents

A start that the runner may still hold an earlier run of its task for is abandoned only once that run is stopped, since the planner may start the task elsewhere then.

--- a/fleet/runner_guard_starts.cc
+++ b/fleet/runner_guard_starts.cc
@@ -168,8 +168,11 @@
     const PendingStart& pending = found->second;
     const auto forbidden = this->ForbiddenStart(pending.deadline);
     const bool may_stop = this->alive && !this->IncarnationId().empty();
-    // A start that the runner may have carried out has to be stopped there.
-    if (forbidden && (may_stop || !pending.unresolved))
+    // A start that the runner may have carried out has to be stopped there. The
+    // planner may start the task elsewhere once it hears of the refusal, so an
+    // earlier run must have ended.
+    if (forbidden && (may_stop || !pending.unresolved) &&
+        !this->MayEarlierRunExist(task, run))
       this->AbandonStart(task, *forbidden);
     // The first list of the next incarnation tells whether the run is there. A
     // heartbeat may have told of it before the list.
--- a/fleet/testing/fleet_planner_test.cc
+++ b/fleet/testing/fleet_planner_test.cc
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/time.h"
 #include "fleet/node_row.h"
 #include "fleet/testing/fleet_fixture.h"
 #include "fleet/testing/port_process.h"
@@ -43,6 +44,7 @@
             },
             [this](const PlannerPing& ping) {
               this->grants += ping.grant_ms > 0 ? 1 : 0;
+              this->evacuations = ping.evacuated_domains;
             }) {
     this->notice.info.runner = StrCat("runner-of-", settings.name);
     this->notice.info.born_ms = 1;
@@ -88,6 +90,11 @@
     return this->process.Call([this] { return this->grants; });
   }
 
+  // The evacuated failure domains, by the last ping.
+  EvacuatedDomains Evacuations() {
+    return this->process.Call([this] { return this->evacuations; });
+  }
+
   // Number of planners that have connected.
   int Connections() {
     return this->process.Call([this] { return this->connections; });
@@ -104,6 +111,7 @@
   bool reports = false;
   int connections = 0;
   int grants = 0;
+  EvacuatedDomains evacuations;
   uint64_t confirmed = 0;
   std::vector<RunOrder> starts;
   // Last, so that its thread ends first.
@@ -114,10 +122,10 @@
  protected:
   ~FleetPlannerTest() override { this->StopPlanner(); }
 
-  // Adds the agent's row, which planners read.
-  void AddNode(const Settings& settings) {
+  // Adds the row of a process, which planners read.
+  void AddNode(const Settings& settings, bool is_agent = true) {
     this->store->Put(kNodeTable, kFleetPart, settings.name,
-                     Encode(NodeRow{PortProcess::Address(settings), true}));
+                     Encode(NodeRow{PortProcess::Address(settings), is_agent}));
   }
 
   // Adds a submission of this many tasks, four of which fill an agent.
@@ -343,5 +351,80 @@
   EXPECT_EQ(agent.Grants(), grants);
 }
 
+// Guards against starts in an evacuated domain by the first plan of a planner
+// that takes over, and against agents that a new planner tells nothing.
+TEST_F(FleetPlannerTest, ANewPlannerStartsNothingInAnEvacuatedDomain) {
+  const Settings first_settings = this->CommonSettings("agent-1");
+  const Settings second_settings = this->CommonSettings("agent-2");
+  ReportingAgent first(first_settings, &this->log);
+  ReportingAgent second(second_settings, &this->log);
+  WorkerNotice notice = first.Notice();
+  notice.info.failure_domain = "erie-a";
+  first.Report(notice);
+  notice.info.runner = "runner-of-agent-2";
+  notice.info.failure_domain = "erie-b";
+  second.Report(notice);
+  this->AddNode(first_settings);
+  this->AddNode(second_settings);
+  this->AddSubmission(kSubmissionId, 8);
+  this->StartPlanner();
+  const EvacuatedDomains domains{{"erie-a", "erie-c"}};
+  this->planner->SetEvacuations(domains);
+  ASSERT_TRUE(this->RunUntil([&] { return second.Starts().size() == 4; }));
+  ASSERT_TRUE(this->RunUntil([&] { return first.Grants() > 0; }));
+  EXPECT_EQ(first.Evacuations(), domains);
+  EXPECT_TRUE(first.Starts().empty());
+  // The end of the evacuation is told at once, and the rest starts.
+  this->planner->SetEvacuations({});
+  ASSERT_TRUE(this->RunUntil([&] { return first.Starts().size() == 4; }));
+  EXPECT_EQ(first.Evacuations(), EvacuatedDomains{});
+}
+
+// Guards against starts by a planner that can't know of an evacuation, since it
+// does not read the operator's rows while another entry may.
+TEST_F(FleetPlannerTest, APlannerWithOldKnowledgeOrdersNoStarts) {
+  const Settings agent_settings = this->CommonSettings("agent-1");
+  const Settings entry_settings = this->CommonSettings("front-2");
+  ReportingAgent agent(agent_settings, &this->log);
+  agent.Report(agent.Notice());
+  // An entry that reaches the store.
+  const PortProcess entry(
+      entry_settings, &this->log, [] {}, [](FleetMessage&&) {});
+  this->AddNode(agent_settings);
+  this->AddNode(entry_settings, /*is_agent=*/false);
+  this->AddSubmission(kSubmissionId);
+  this->evacuation_bound = absl::Seconds(5);
+  this->view.evacuations_as_of = BootClock().Now() - absl::Seconds(3);
+  this->StartPlanner();
+  ASSERT_TRUE(this->RunUntil([&] { return agent.Grants() > 0; }));
+  this->RunFor(absl::Milliseconds(300));
+  EXPECT_TRUE(agent.Starts().empty());
+  this->view.evacuations_as_of = BootClock().Now();
+  EXPECT_TRUE(this->RunUntil([&] { return agent.Starts().size() == 1; }));
+}
+
+// Guards against a task that waits, or is lost, once an agent has refused its
+// start as too old: it is started elsewhere at once.
+TEST_F(FleetPlannerTest, ATaskWhoseOrderHasExpiredRunsElsewhere) {
+  const Settings first_settings = this->CommonSettings("agent-1");
+  const Settings second_settings = this->CommonSettings("agent-2");
+  ReportingAgent first(first_settings, &this->log);
+  first.Report(first.Notice());
+  this->AddNode(first_settings);
+  this->AddSubmission(kSubmissionId);
+  this->StartPlanner();
+  ASSERT_TRUE(this->RunUntil([&] { return first.Starts().size() == 1; }));
+  ReportingAgent second(second_settings, &this->log);
+  second.Report(second.Notice());
+  this->AddNode(second_settings);
+  ASSERT_TRUE(this->RunUntil([&] { return second.Grants() > 0; }));
+  const RunOrder order = first.Starts().front();
+  first.Send({StartRefused{order.task, order.run,
+                           static_cast<uint8_t>(StartOutcome::kExpired)}});
+  ASSERT_TRUE(this->RunUntil([&] { return second.Starts().size() == 1; }));
+  EXPECT_GT(second.Starts().front().run, order.run);
+  EXPECT_EQ(first.Starts().size(), 1u);
+}
+
 }  // namespace
 }  // namespace cuminjunction
--- a/fleet/testing/policy_follower_test.cc
+++ b/fleet/testing/policy_follower_test.cc
@@ -11,6 +11,7 @@
 #include "absl/time/time.h"
 #include "base/event_thread.h"
 #include "base/strings.h"
+#include "base/time.h"
 #include "fleet/node_row.h"
 #include "testing/support/fault_proxy.h"
 #include "testing/support/store_standin.h"
@@ -63,12 +64,15 @@
       this->follower = std::make_unique<PolicyFollower>(
           &this->thread.Context(), this->store.get(), absl::ZeroDuration(),
           &this->log, &this->metrics,
-          PolicyFollowerHandlers{
-              .on_policy =
-                  [this](const FleetPolicy& policy) {
-                    this->version = policy.version;
-                  },
-              .on_evacuations = [](const EvacuatedDomains&) {}});
+          PolicyFollowerHandlers{.on_policy =
+                                     [this](const FleetPolicy& policy) {
+                                       this->version = policy.version;
+                                     },
+                                 .on_evacuations =
+                                     [this](const EvacuatedDomains& domains) {
+                                       this->evacuations = domains;
+                                       this->version_at_change = this->version;
+                                     }});
       this->follower->Start();
     });
   }
@@ -80,6 +84,20 @@
     return this->version == expected;
   }
 
+  void Evacuate(const std::string& domain, const std::string& value = "{}") {
+    this->standin->Put("op", "", StrCat("evacuate/", domain), value);
+  }
+
+  bool WaitForEvacuations(const EvacuatedDomains& expected) {
+    const absl::Time limit = absl::Now() + kTestTimeout;
+    const auto is_expected = [&] {
+      return this->thread.Call([&] { return this->evacuations == expected; });
+    };
+    while (!is_expected() && absl::Now() < limit)
+      absl::SleepFor(absl::Milliseconds(10));
+    return is_expected();
+  }
+
   Log log;
   Metrics metrics;
   std::unique_ptr<StoreStandin> standin;
@@ -89,6 +107,10 @@
   std::unique_ptr<Store> store;
   std::unique_ptr<PolicyFollower> follower;
   std::atomic<int64_t> version = 0;
+  // The last set that the follower has passed on, and the version of the
+  // configuration at that time.
+  EvacuatedDomains evacuations;
+  int64_t version_at_change = 0;
 };
 
 // Guards against reads that are given up while their answer still arrives: a
@@ -103,5 +125,78 @@
   EXPECT_TRUE(this->WaitForVersion(4));
 }
 
+// Guards against a planner that has the configuration, and so plans, before it
+// knows the evacuations; also where the table has several pages.
+TEST_F(PolicyFollowerTest, EvacuationsAreKnownBeforeTheConfiguration) {
+  // The stand-in repeats the last row of a page on the next one.
+  this->standin->SetPageSize(2);
+  this->Put(3, 1);
+  this->Evacuate("erie-a");
+  this->Evacuate("");
+  this->Evacuate("erie-b", "not even JSON");
+  this->standin->Put("op", "", "wave/1", "");
+  const absl::Time before = BootClock().Now();
+  this->Follow();
+  ASSERT_TRUE(this->WaitForVersion(3));
+  ASSERT_TRUE(this->WaitForEvacuations({{"erie-a", "erie-b"}}));
+  EXPECT_EQ(this->version_at_change, 0);
+  EXPECT_GE(this->thread.Call([&] { return this->follower->AsOf(); }), before);
+}
+
+// Guards against changes of which the feed tells and that the follower drops.
+TEST_F(PolicyFollowerTest, TheFeedAddsAndRemovesEvacuations) {
+  this->Put(3, 1);
+  this->Evacuate("erie-a");
+  this->Follow();
+  ASSERT_TRUE(this->WaitForEvacuations({{"erie-a"}}));
+  this->Evacuate("erie-b");
+  ASSERT_TRUE(this->WaitForEvacuations({{"erie-a", "erie-b"}}));
+  this->standin->Remove("op", "", "evacuate/erie-a");
+  ASSERT_TRUE(this->WaitForEvacuations({{"erie-b"}}));
+}
+
+// Guards against an evacuation that never ends, since its row was removed while
+// the follower was behind and the store has dropped that from its history.
+TEST_F(PolicyFollowerTest, ARemovalThatTheHistoryLacksIsNoticed) {
+  this->Put(3, 1);
+  this->Evacuate("erie-a");
+  this->Follow();
+  ASSERT_TRUE(this->WaitForEvacuations({{"erie-a"}}));
+  this->standin->SetFeedDelay(absl::Milliseconds(300));
+  const int reads = this->standin->FeedReads("op");
+  while (this->standin->FeedReads("op") == reads)
+    absl::SleepFor(absl::Milliseconds(5));
+  // The answer that is on its way was read before the removal.
+  this->standin->Remove("op", "", "evacuate/erie-a");
+  this->standin->Compact();
+  EXPECT_TRUE(this->WaitForEvacuations({}));
+}
+
+// Guards against knowledge that seems recent although the store has not
+// answered: its age limits what a planner may start.
+TEST_F(PolicyFollowerTest, FailedReadsDoNotRenewTheKnowledge) {
+  this->Put(3, 1);
+  this->Follow();
+  ASSERT_TRUE(this->WaitForVersion(3));
+  this->standin->SetRefusing(true);
+  const auto is_unreachable = [this] {
+    return this->thread.Call(
+        [this] { return this->follower->IsStoreUnreachable(); });
+  };
+  while (!is_unreachable())
+    absl::SleepFor(absl::Milliseconds(5));
+  const auto as_of = [this] {
+    return this->thread.Call([this] { return this->follower->AsOf(); });
+  };
+  const absl::Time last = as_of();
+  absl::SleepFor(absl::Milliseconds(300));
+  EXPECT_EQ(as_of(), last);
+  this->standin->SetRefusing(false);
+  const absl::Time limit = absl::Now() + kTestTimeout;
+  while (as_of() == last && absl::Now() < limit)
+    absl::SleepFor(absl::Milliseconds(5));
+  EXPECT_GT(as_of(), last);
+}
+
 }  // namespace
 }  // namespace cuminjunction
--- a/fleet/testing/script_planner.h
+++ b/fleet/testing/script_planner.h
@@ -59,6 +59,21 @@
     this->thread.Call([&] { this->link->Send(EncodeFleetMessage(message)); });
   }
 
+  // Sends pings with these evacuations from now on, the first one at once, and
+  // with a grant of this length from the latest timestamp on.
+  void SetPing(const EvacuatedDomains& domains, absl::Duration grant) {
+    this->thread.Call([&] {
+      this->evacuations = domains;
+      this->grant = grant;
+      this->SendPing();
+    });
+  }
+
+  // The latest timestamp of the process; 0 for none.
+  int64_t TimestampUs() {
+    return this->thread.Call([this] { return this->timestamp_us; });
+  }
+
   // Removes and returns the first message of this type. Waits for it; no value
   // after a minute.
   template <class Message>
@@ -85,8 +100,7 @@
   void Ping() {
     if (this->link->IsClosed())
       return;
-    this->link->Send(EncodeFleetMessage(
-        PlannerPing{.epoch = this->epoch, .planner = "script"}));
+    this->SendPing();
     this->ping_timer.expires_after(std::chrono::milliseconds(200));
     this->ping_timer.async_wait([this](std::error_code error) {
       if (!error)
@@ -94,8 +108,20 @@
     });
   }
 
+  void SendPing() {
+    PlannerPing ping{.epoch = this->epoch, .planner = "script"};
+    if (this->grant > absl::ZeroDuration() && this->timestamp_us > 0) {
+      ping.echoed_timestamp_us = this->timestamp_us;
+      ping.grant_ms = absl::ToInt64Milliseconds(this->grant);
+    }
+    ping.evacuated_domains = this->evacuations;
+    this->link->Send(EncodeFleetMessage(ping));
+  }
+
   Status OnFrame(std::string_view payload) {
     BOOST_OUTCOME_TRY(message, DecodeFleetMessage(payload));
+    if (const auto* pong = std::get_if<NodePong>(&message))
+      this->timestamp_us = pong->timestamp_us;
     const absl::MutexLock lock(&this->mutex);
     this->received.push_back(std::move(message));
     return Ok();
@@ -106,6 +132,10 @@
   std::deque<FleetMessage> received;
   EventThread thread;
   boost::asio::steady_timer ping_timer;
+  // Used on the thread alone.
+  EvacuatedDomains evacuations;
+  absl::Duration grant;
+  int64_t timestamp_us = 0;
   std::shared_ptr<FrameLink> link;
 };
 
--- a/settings/testing/settings_test.cc
+++ b/settings/testing/settings_test.cc
@@ -2,6 +2,12 @@
 
 #include <gtest/gtest.h>
 
+#include <string>
+#include <vector>
+
+#include "base/file.h"
+#include "base/strings.h"
+
 namespace cuminjunction {
 namespace {
 
@@ -59,6 +65,39 @@
   EXPECT_EQ(problems[0].key, "renewal_s");
 }
 
+// Guards against templates that the platform can't fill in: the bound on
+// evacuations is missing on most deployments, and the other lines stay as they
+// are then.
+TEST(SettingsTest, TemplatesHaveABoundOnEvacuationsOrNone) {
+  const std::string open = "{{#bounds.evacuateMs}}";
+  const std::string close = "{{/bounds.evacuateMs}}";
+  for (const char* name : {"entry", "agent"}) {
+    const std::string text =
+        ReadFile(StrCat(CUMINJUNCTION_SOURCE_DIR, "/deploy/", name, ".yaml"))
+            .value();
+    const size_t begin = text.find(open);
+    const size_t end = text.find(close);
+    ASSERT_NE(begin, std::string::npos);
+    ASSERT_NE(end, std::string::npos);
+    const std::string inner =
+        text.substr(begin + open.size(), end - begin - open.size());
+    EXPECT_EQ(inner, "evacuate_ms: {{.}}");
+    for (const bool bounded : {true, false}) {
+      std::string filled = text;
+      filled.replace(begin, end + close.size() - begin,
+                     bounded ? "evacuate_ms: 5000" : "");
+      for (size_t tag = filled.find("{{"); tag != std::string::npos;
+           tag = filled.find("{{"))
+        filled.replace(tag, filled.find("}}") + 2 - tag,
+                       filled[tag - 1] == '"' ? "127.0.0.1:70" : "600");
+      std::vector<YamlProblem> problems;
+      const auto settings = ParseSettings(filled, "s.yaml", &problems);
+      ASSERT_TRUE(settings) << ToString(problems[0]) << "\n" << filled;
+      EXPECT_EQ(settings.value().fleet.evacuate_ms, bounded ? 5000 : 0);
+    }
+  }
+}
+
 TEST(SettingsTest, BadEndpointsAreRefused) {
   for (const char* text : {"", ":1", "a", "a:", "a:0", "a:65536", "a:x"})
     EXPECT_FALSE(ParseEndpoint(text)) << text;
