Evacuate failure domains in the soak

The soak had one failure domain and no operator. Its agents are now in two, the operator evacuates one of them for up to 10 s again and again, and the soak breaks if a task starts there later than the bound of 5,000 ms after the evacuation. Left out are starts that a runner carried out late and those within 4 s of a disturbance of the store, of the agent or of all entries.

--- a/testing/soak/clients.cc
+++ b/testing/soak/clients.cc
@@ -68,13 +68,13 @@
   // An agent that is away misses the heartbeat.
   static_cast<void>(client->Send(
       StrCat("http://", ToString(node.heartbeats)),
-      MakeRequest("POST",
-                  StrCat("/v1/instances/", node.runner->Id(), "/heartbeat"),
-                  StrCat(R"({"service":"line","zone":"domain","state":")",
-                         node.runner->HeartbeatState(), R"(",)",
-                         R"("capacity":{"cpu":4000,"memMb":1000,"gpu":0},)",
-                         R"("labels":["a","r1"],"sequence":)", ++this->sequence,
-                         R"(,"born":)", node.runner->BornMs(), "}")),
+      MakeRequest(
+          "POST", StrCat("/v1/instances/", node.runner->Id(), "/heartbeat"),
+          StrCat(R"({"service":"line","zone":")", node.domain, R"(","state":")",
+                 node.runner->HeartbeatState(), R"(",)",
+                 R"("capacity":{"cpu":4000,"memMb":1000,"gpu":0},)",
+                 R"("labels":["a","r1"],"sequence":)", ++this->sequence,
+                 R"(,"born":)", node.runner->BornMs(), "}")),
       absl::Now() + absl::Milliseconds(50)));
 }
 
--- a/testing/soak/fleet.cc
+++ b/testing/soak/fleet.cc
@@ -93,6 +93,7 @@
     return nullptr;
   node->store_link = std::move(link.value());
   if (agent) {
+    node->domain = kAgentDomains.at(index % kAgentDomains.size());
     auto runner = RunnerStandin::Start(&this->ledger, this->run_time);
     if (!runner)
       return nullptr;
@@ -114,11 +115,11 @@
   std::ofstream file(node->settings_file);
   file << "name: " << node->name
        << "\nrole: " << (node->agent ? "agent" : "entry")
-       << "\nregion: region\nfailure_domain: domain\nlog: " << this->folder
-       << "/" << node->name
+       << "\nregion: region\nfailure_domain: " << node->domain
+       << "\nlog: " << this->folder << "/" << node->name
        << ".log\nlisten:\n  host: 127.0.0.1\n  peer_port: " << FreePort()
        << "\nfleet:\n  store: \"" << ToString(node->store_link->Address())
-       << "\"\n  max_lease_ms: 10000\n";
+       << "\"\n  max_lease_ms: 10000\n  evacuate_ms: " << kEvacuateMs << "\n";
   if (node->agent) {
     node->heartbeats = {"127.0.0.1", FreePort()};
     file << "  heartbeats: \"" << ToString(node->heartbeats)
--- a/testing/soak/fleet.h
+++ b/testing/soak/fleet.h
@@ -11,6 +11,7 @@
 //   ...
 //   fleet.End();
 
+#include <array>
 #include <atomic>
 #include <cstdint>
 #include <memory>
@@ -29,6 +30,13 @@
 
 namespace cuminjunction {
 
+// The failure domains of the agents; the entries are in another one.
+inline constexpr std::array<const char*, 2> kAgentDomains = {"domain-a",
+                                                             "domain-b"};
+
+// FleetSettings::evacuate_ms of all processes.
+inline constexpr int64_t kEvacuateMs = 5000;
+
 // The times in which something was disturbed.
 class Disturbances {
  public:
@@ -50,6 +58,7 @@
 struct Node {
   std::string name;
   bool agent = false;
+  std::string domain = "domain";
   std::string settings_file;
   Endpoint front;
   Endpoint heartbeats;
--- a/testing/soak_main.cc
+++ b/testing/soak_main.cc
@@ -2,8 +2,9 @@
 // programs run as processes of their own on loopback, against stand-ins of the
 // store and the runners, while faults are injected from outside. It checks from
 // what callers and runners see that nothing accepted is lost, nothing runs
-// twice, nothing refused or cancelled runs and no final state changes. A
-// submission may fail only if runners have crashed under one of its tasks.
+// twice, nothing refused or cancelled runs, no final state changes and nothing
+// starts in an evacuated failure domain. A submission may fail only if runners
+// have crashed under one of its tasks.
 //
 //   soak --seed 7 --seconds 20 --entries 3 --agents 6
 //
@@ -28,6 +29,7 @@
 #include "base/strings.h"
 #include "testing/soak/clients.h"
 #include "testing/soak/departures.h"
+#include "testing/soak/evacuations.h"
 #include "testing/soak/faults.h"
 #include "testing/soak/fleet.h"
 #include "testing/soak/record.h"
@@ -69,7 +71,8 @@
               absl::Milliseconds(options.run_ms)),
         clients(&this->fleet, &this->record, options.seed),
         faults(&this->fleet, &this->record, &this->random, options.seed),
-        departures(&this->fleet, options.seed) {}
+        departures(&this->fleet, options.seed),
+        evacuations(&this->fleet, options.seed) {}
 
   bool Run();
 
@@ -78,6 +81,12 @@
   // True while a runner has orders that it will carry out late, or runs tasks.
   bool AreOrdersPending();
   void CheckCancellations();
+  // Checks that nothing has started in an evacuated domain later than
+  // kEvacuateMs after the evacuation.
+  void CheckEvacuations();
+  // True if each entry was disturbed shortly before this time: nobody may have
+  // reached the store then.
+  bool WereEntriesDisturbed(absl::Time at);
   // True if a bound on the time holds for this start.
   bool WasInTouch(const RunStart& start);
   void Check();
@@ -91,6 +100,7 @@
   Clients clients;
   Faults faults;
   Departures departures;
+  Evacuations evacuations;
 };
 
 bool Soak::AreOrdersPending() {
@@ -142,8 +152,30 @@
   }
 }
 
+bool Soak::WereEntriesDisturbed(absl::Time at) {
+  const std::vector<Node*>& entries = this->fleet.Entries();
+  return std::all_of(entries.begin(), entries.end(), [&](const Node* entry) {
+    return entry->disturbances.Overlap(at - kContact, at);
+  });
+}
+
+void Soak::CheckEvacuations() {
+  const std::vector<Node*> agents = this->fleet.StartedAgents();
+  for (const RunStart& start : this->fleet.Ledger()->StartList()) {
+    const auto node = std::find_if(
+        agents.begin(), agents.end(),
+        [&](const Node* agent) { return agent->runner.get() == start.runner; });
+    if (node != agents.end() &&
+        this->evacuations.Forbid((*node)->domain, start.at) &&
+        this->WasInTouch(start) && !this->WereEntriesDisturbed(start.at))
+      this->record.Break(StrCat(start.task, " was started on ", (*node)->name,
+                                " in the evacuated ", (*node)->domain));
+  }
+}
+
 void Soak::Check() {
   this->CheckCancellations();
+  this->CheckEvacuations();
   for (const std::string& id : this->record.Unfinished())
     this->record.Break(StrCat(id, " was accepted and is not completed"));
   for (const std::string& violation : this->fleet.Ledger()->ViolationTexts())
@@ -167,12 +199,14 @@
   this->clients.Start();
   absl::SleepFor(absl::Seconds(2));
   this->departures.Start();
+  this->evacuations.Start();
   const absl::Time end = absl::Now() + absl::Seconds(this->options.seconds);
   while (absl::Now() < end) {
     this->faults.Step();
     absl::SleepFor(absl::Milliseconds(10));
   }
   this->departures.Stop();
+  this->evacuations.Stop();
   this->faults.HealAll();
   this->clients.StopCalls();
   this->AwaitEnd();
@@ -190,6 +224,7 @@
       {"seed", this->options.seed},
       {"faults", this->faults.Count()},
       {"departures", this->departures.Count()},
+      {"evacuations", this->evacuations.Count()},
       {"submitted", this->clients.Submitted()},
       {"accepted", this->record.AcceptedCount()},
       {"refused", this->record.Refused().size()},
