Count the moves out of evacuated domains

planner_stops_total does not tell how many stops an evacuation caused. The planner now counts the stops with reason `evacuated` in planner_evacuation_moves_total; the reason has one definition.

--- a/fleet/fleet_planner.cc
+++ b/fleet/fleet_planner.cc
@@ -79,6 +79,8 @@
       log(log),
       starts_total(metrics->GetCounter("planner_starts_total")),
       stops_total(metrics->GetCounter("planner_stops_total")),
+      evacuation_moves_total(
+          metrics->GetCounter("planner_evacuation_moves_total")),
       ends_total(metrics->GetCounter("planner_ends_total")),
       takeovers_total(metrics->GetCounter("planner_takeovers_total")),
       held_tasks(metrics->GetGauge("planner_held_tasks")),
@@ -309,6 +311,8 @@
   std::map<std::string, const std::string*> last_text;
   for (const StopOrder& stop : orders.stops) {
     this->stops_total.Add();
+    if (stop.reason == kEvacuatedReason)
+      this->evacuation_moves_total.Add();
     stops[stop.vm].runs.push_back({stop.task, stop.run});
     this->log->Write(LogLine("stop")
                          .Add("submission", stop.task.submission)
--- a/fleet/fleet_planner.h
+++ b/fleet/fleet_planner.h
@@ -239,6 +239,8 @@
   Log* log;
   Counter& starts_total;
   Counter& stops_total;
+  // Of these, long-running tasks that move out of an evacuated domain.
+  Counter& evacuation_moves_total;
   Counter& ends_total;
   Counter& takeovers_total;
   // Long-running tasks that have had no run for kHeldAfter.
--- a/submission/evacuation_moves.h
+++ b/submission/evacuation_moves.h
@@ -19,6 +19,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "absl/time/time.h"
@@ -50,6 +51,9 @@
 inline constexpr absl::Duration kMaxPlanGap = absl::Seconds(1);
 inline constexpr absl::Duration kSettleAfterGap = absl::Seconds(1);
 
+// StopOrder::reason of these stops.
+inline constexpr std::string_view kEvacuatedReason = "evacuated";
+
 using WorkersByVm = std::map<std::string, std::unique_ptr<Worker>>;
 
 // True if the task of the slot certainly works: its VM answers and its run was
--- a/submission/scheduler_moves.cc
+++ b/submission/scheduler_moves.cc
@@ -235,7 +235,7 @@
   for (const MoveCandidate& move : moves)
     orders->stops.push_back({move.worker->vm, move.task,
                              move.worker->placed.at(move.task).run,
-                             "evacuated"});
+                             kEvacuatedReason});
 }
 
 }  // namespace cuminjunction
--- a/submission/testing/evacuation_moves_test.cc
+++ b/submission/testing/evacuation_moves_test.cc
@@ -195,7 +195,7 @@
         continue;
       if (run->second.stops_at == absl::InfiniteFuture())
         run->second.stops_at = this->now + absl::Milliseconds(Pick(0, 2000));
-      if (stop.reason != "evacuated")
+      if (stop.reason != kEvacuatedReason)
         continue;
       ++this->moves;
       RC_ASSERT(this->Unavailable(stop.task.step) <=
