Count tasks of a VM that was silent as working only later

A VM may be suspended while a task starts there. When it was back, the task counted as working although its start-up was not over, so that another task of its step could have been stopped.

Found by reading.

--- a/submission/evacuation_moves.cc
+++ b/submission/evacuation_moves.cc
@@ -1,9 +1,16 @@
 #include "submission/evacuation_moves.h"
 
+#include <algorithm>
+
 #include "submission/crash.h"
 
 namespace cuminjunction {
 
+void DelayWork(Worker* worker, absl::Time now) {
+  for (auto& [task, placed] : worker->placed)
+    placed.works_from = std::max(placed.works_from, now + kStartUpTime);
+}
+
 bool IsAvailable(const TaskSlot& slot,
                  const TaskRef& task,
                  const WorkersByVm& workers,
--- a/submission/evacuation_moves.h
+++ b/submission/evacuation_moves.h
@@ -56,6 +56,10 @@
 
 using WorkersByVm = std::map<std::string, std::unique_ptr<Worker>>;
 
+// Lets the runs of a VM that has been silent count as working only after the
+// start-up time: the VM may have been suspended while they started.
+void DelayWork(Worker* worker, absl::Time now);
+
 // True if the task of the slot certainly works: its VM answers and its run was
 // started long enough ago and has not been ordered to stop.
 bool IsAvailable(const TaskSlot& slot,
--- a/submission/scheduler_moves.cc
+++ b/submission/scheduler_moves.cc
@@ -144,8 +144,12 @@
 }
 
 std::optional<size_t> Scheduler::HoldRoomForMoves(absl::Time now) {
-  for (auto& [vm, worker] : this->workers)
+  for (auto& [vm, worker] : this->workers) {
     worker->held_for_moves = {};
+    if (worker->synced && worker->usable &&
+        std::exchange(worker->was_silent, false))
+      DelayWork(worker.get(), now);
+  }
   if (std::exchange(this->last_plan, now) < now - kMaxPlanGap)
     this->next_evacuation_move = now + kSettleAfterGap;
   if (this->evacuated_domains.names.empty())
--- a/submission/scheduler_workers.cc
+++ b/submission/scheduler_workers.cc
@@ -81,6 +81,7 @@
   this->SetInfo(&worker, report.info);
   worker.usable = report.alive;
   worker.synced = true;
+  worker.was_silent = worker.was_silent || !report.alive;
   if (!report.more_ends)
     this->ForgetStaleRuns(&worker);
   for (const EndedRun& ended_run : report.ended)
@@ -135,12 +136,14 @@
   Worker& worker = this->GetOrAddWorker(vm);
   this->SetInfo(&worker, info);
   worker.usable = alive;
+  worker.was_silent = worker.was_silent || !alive;
 }
 
 void Scheduler::OnDisconnected(const std::string& vm) {
   Worker& worker = this->GetOrAddWorker(vm);
   worker.synced = false;
   worker.usable = false;
+  worker.was_silent = true;
 }
 
 bool Scheduler::MayGrant(const std::string& vm) const {
--- a/submission/testing/scheduler_evacuation_test.cc
+++ b/submission/testing/scheduler_evacuation_test.cc
@@ -217,6 +217,22 @@
   EXPECT_EQ(this->starts.size(), 4u);
 }
 
+// Guards against a task that counts as working although its VM was suspended
+// while it started.
+TEST_F(SchedulerEvacuationTest, TasksOfAVmThatWasSilentCountOnlyLater) {
+  Step step = MakeLongStep(2, 1);
+  step.max_per_vm = 1;
+  this->Report("vm-3", "erie-c");
+  this->RunInEvacuatedDomain({step});
+  RunnerInfo info = MakeReport("vm-3").info;
+  info.failure_domain = "erie-c";
+  this->scheduler.UpdateInfo("vm-3", info, false);
+  EXPECT_TRUE(this->PlanFor(absl::Seconds(5)).empty());
+  this->scheduler.UpdateInfo("vm-3", info, true);
+  EXPECT_TRUE(this->PlanFor(kStartUpTime).empty());
+  EXPECT_EQ(this->PlanFor(absl::Milliseconds(200)).size(), 1u);
+}
+
 // Guards against stops on old knowledge, by a planner that was suspended and
 // has not read its messages yet, and by one that has just taken over.
 TEST_F(SchedulerEvacuationTest, APlannerWithOldKnowledgeStopsNothing) {
--- a/submission/worker.h
+++ b/submission/worker.h
@@ -63,6 +63,9 @@
   bool usable = false;
   // The agent is connected and its full report has been merged.
   bool synced = false;
+  // The agent was cut off or its runner did not answer, and no plan has been
+  // made since both are back.
+  bool was_silent = false;
   // The operator has evacuated the failure domain of the runner.
   bool evacuated = false;
   // The evacuation of the domain has ended a short time ago; up to this time
