--- a/fleet/fleet_planner.cc
+++ b/fleet/fleet_planner.cc
@@ -86,6 +86,8 @@
       log(log),
       starts_total(metrics->GetCounter("planner_starts_total")),
       stops_total(metrics->GetCounter("planner_stops_total")),
+      evacuation_moves_total(
+          metrics->GetCounter("planner_evacuation_moves_total")),
       ends_total(metrics->GetCounter("planner_ends_total")),
       takeovers_total(metrics->GetCounter("planner_takeovers_total")),
       held_tasks(metrics->GetGauge("planner_held_tasks")),
--- a/submission/evacuation_moves.h
+++ b/submission/evacuation_moves.h
@@ -19,6 +19,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "absl/time/time.h"
@@ -50,8 +51,15 @@
 inline constexpr absl::Duration kMaxPlanGap = absl::Seconds(1);
 inline constexpr absl::Duration kSettleAfterGap = absl::Seconds(1);
 
+// StopOrder::reason of these stops.
+inline constexpr std::string_view kEvacuatedReason = "evacuated";
+
 using WorkersByVm = std::map<std::string, std::unique_ptr<Worker>>;
 
+// Lets the runs of a VM that has been silent count as working only after the
+// start-up time: the VM may have been suspended while they started.
+void DelayWork(Worker* worker, absl::Time now);
+
 // True if the task of the slot certainly works: its VM answers and its run was
 // started long enough ago and has not been ordered to stop.
 bool IsAvailable(const TaskSlot& slot,
