Settle submissions until their deadlines

During an outage of the store each submission was sent and could end without a known outcome, and one with an unanswered write was answered 504 as soon as reads of the store failed, though its caller waits for 3 s and most outages end earlier.

StoreGate decides without a network or clocks what is sent when: at most 8 submissions are in flight on a route, and no further one is sent while two are late (100 ms) or have lost their answer. The others wait in the order of their deadlines, bounded by number and size, until the store has answered, and are refused with 503 when less than 300 ms are left. Reads of one row find out whether a silent store answers again, since they make nothing unresolved. An unanswered write is repeated until the deadline, 40 repeats a second at most, through the planner when the direct call is refused or lost, and in the last 300 ms as a fence: a row in table `fence` that keeps all earlier writes from taking effect. submission_commit.h builds the transactions and interprets replies.

StoreRequest gets a kind and the fence's version; StoreDone reports the outcome, so that the entry learns of refusals and cancellations. The planner no longer repeats a request: the reply to its repeat would not be true of its first copy. It drops requests when its lease has expired. 504 is counted in submissions_unknown_total{cause}. An entry that stops settles what it holds before its grace time ends.

UnknownCancelsTest: a submission that ended as unknown is now fenced within the caller's deadline, so the test also holds back the fence; the planner's answers are compared as a whole.

--- a/fleet/fleet_entry.cc
+++ b/fleet/fleet_entry.cc
@@ -39,6 +39,10 @@
 constexpr std::chrono::milliseconds kNotReadyGrace(2600);
 constexpr std::chrono::milliseconds kFinalAnswersGrace(600);
 
+// The submissions that an entry holds when it stops are settled this long
+// before it no longer waits for open requests.
+constexpr absl::Duration kStopAnswerMargin = absl::Milliseconds(100);
+
 }  // namespace
 
 Result<std::unique_ptr<FleetEntry>> FleetEntry::Start(const Settings& settings,
@@ -70,6 +74,7 @@
   // does not use a destroyed object.
   this->thread.Stop();
   this->front = nullptr;
+  this->settler = nullptr;
   this->ready_front = nullptr;
   this->metrics_front = nullptr;
   this->port = nullptr;
@@ -116,6 +121,23 @@
                 this->OnMessage(std::move(message));
               }});
   BOOST_OUTCOME_TRY(this->port->Listen(listen.host, listen.peer_port));
+  this->settler = std::make_unique<SubmissionSettler>(
+      context, this->store.get(), this->log, &this->metrics,
+      SubmissionSettlerHandlers{
+          .conditions =
+              [this] {
+                return GateConditions{
+                    .reads_fail = this->follower->IsStoreUnreachable(),
+                    .planner_available = this->port->IsConnected() &&
+                                         !this->view.commits_failing,
+                    .planner_is_own = this->planner->IsPlanning()};
+              },
+          .relay =
+              [this](StoreRequest request, absl::Time deadline,
+                     std::function<void(const SubmissionReply&)> done) {
+                return this->RelayToPlanner(std::move(request), deadline,
+                                            std::move(done));
+              }});
   this->front = std::make_unique<HttpFront>(
       context,
       HttpFrontOptions{.host = fleet.submissions.host,
@@ -173,17 +195,20 @@
 
 void FleetEntry::Shutdown() {
   this->log->Write(LogLine("stopping").Add("role", "entry"));
-  this->thread.Call([this] {
+  // After the answers there is time to deliver them.
+  const absl::Time answer_deadline =
+      BootClock().Now() +
+      std::max(absl::Milliseconds(this->settings.fleet.stop_grace_ms) -
+                   absl::FromChrono(2 * kFinalAnswersGrace),
+               absl::FromChrono(kNotReadyGrace));
+  this->thread.Call([this, answer_deadline] {
     this->stopping = true;
+    this->settler->Stop(answer_deadline - kStopAnswerMargin);
     this->front->CloseConnectionsAfterAnswers();
     this->planner->Shutdown([] {});
   });
   std::this_thread::sleep_for(kNotReadyGrace);
   this->thread.Call([this] { this->front->StopListening(); });
-  const absl::Time answer_deadline =
-      BootClock().Now() +
-      absl::Milliseconds(this->settings.fleet.stop_grace_ms) -
-      absl::FromChrono(kNotReadyGrace + 2 * kFinalAnswersGrace);
   while (BootClock().Now() < answer_deadline &&
          this->thread.Call([this] { return this->front->OpenCount(); }) > 0)
     std::this_thread::sleep_for(std::chrono::milliseconds(20));
@@ -382,7 +407,8 @@
   } else if (const auto* stored = std::get_if<StoreDone>(&message)) {
     auto relay = this->pending_relays.extract(stored->number);
     if (!relay.empty())
-      relay.mapped()(true);
+      relay.mapped()(
+          {static_cast<SubmissionOutcome>(stored->outcome), stored->version});
   } else if (auto* counts = std::get_if<WaitingNotice>(&message)) {
     this->waiting_counts = std::move(counts->waiting);
     this->waiting_counts_at = BootClock().Now();
--- a/fleet/fleet_entry.h
+++ b/fleet/fleet_entry.h
@@ -36,6 +36,7 @@
 #include "fleet/node_row.h"
 #include "fleet/planner_port.h"
 #include "fleet/policy_follower.h"
+#include "fleet/submission_settler.h"
 #include "platform/store.h"
 #include "settings/settings.h"
 #include "submission/policy.h"
@@ -58,7 +59,6 @@
   void Shutdown();
 
  private:
-  struct PendingSubmission;
   // A cancel of a submission without a row. A row that is still on its way to
   // the store must not be stored after the answer, so the cancellation is.
   struct UnknownCancel {
@@ -75,14 +75,11 @@
   void OnSubmit(HttpExchange* exchange,
                 const Queue& queue,
                 const std::string& id);
-  void SendSubmit(const std::shared_ptr<PendingSubmission>& pending);
-  void OnSubmitReply(const std::shared_ptr<PendingSubmission>& pending,
-                     CommitReply&& reply);
-  void MarkUnresolved(const std::string& id);
-  void OnStoreUnavailable(const std::shared_ptr<PendingSubmission>& pending);
-  // `row_version` is the version of the submission's row; 0 if the planner has
-  // stored it, which logs the version.
-  void AcceptSubmission(const std::shared_ptr<PendingSubmission>& pending,
+  void OnSettled(HttpExchange* exchange,
+                 const Submission& submission,
+                 const SettledSubmission& settled);
+  void AcceptSubmission(HttpExchange* exchange,
+                        const Submission& submission,
                         int64_t row_version);
   void OnStateQuery(HttpExchange* exchange, const std::string& id);
   void OnCancel(HttpExchange* exchange, const std::string& id);
@@ -96,14 +93,18 @@
   void OnUnknownCancelsReply(std::vector<UnknownCancel>&& cancels,
                              std::error_code error);
   void FinishUnknownCancel(const UnknownCancel& cancel);
-  // Asks the planner to store a row, or a cancellation when `cancel` is set,
-  // that the store refused from this entry. Returns false, without a call of
-  // `done`, when no planner with a reachable store is connected. `stored` is
-  // false when no answer came in time; the row may still be stored later.
-  bool RelayToPlanner(const Submission& submission,
-                      bool cancel,
+  // Sends a request, of which the number is set here, to the planner. Returns
+  // false, without a call of `done`, when no planner with a reachable store is
+  // connected. `done` gets kUnknown when no answer came in time; the row may
+  // still be stored later.
+  bool RelayToPlanner(StoreRequest request,
                       absl::Time deadline,
-                      std::function<void(bool stored)> done);
+                      std::function<void(const SubmissionReply&)> done);
+  // Asks the planner to store a cancellation that the store refused from this
+  // entry.
+  bool RelayCancel(const std::string& id,
+                   absl::Time deadline,
+                   std::function<void(bool stored)> done);
   void OnWaitingCount(HttpExchange* exchange, const Queue& queue);
   // Reads a submission's state from the store; no value without a row.
   void ReadState(const std::string& id,
@@ -135,6 +136,7 @@
   std::unique_ptr<PolicyFollower> follower;
   std::unique_ptr<FleetPlanner> planner;
   std::unique_ptr<PlannerPort> port;
+  std::unique_ptr<SubmissionSettler> settler;
   std::unique_ptr<HttpFront> front;
   std::unique_ptr<HttpFront> ready_front;
   std::unique_ptr<MetricsFront> metrics_front;
@@ -160,7 +162,8 @@
   // first number is random, since the planner may still answer requests of an
   // earlier process of this VM.
   uint64_t next_relay_number;
-  std::map<uint64_t, std::function<void(bool stored)>> pending_relays;
+  std::map<uint64_t, std::function<void(const SubmissionReply&)>>
+      pending_relays;
   // Waiting submissions of each queue, and when the planner sent the counts.
   std::map<std::string, uint64_t> waiting_counts;
   absl::Time waiting_counts_at = absl::InfinitePast();
--- a/fleet/fleet_entry_cancel.cc
+++ b/fleet/fleet_entry_cancel.cc
@@ -23,6 +23,11 @@
 // with little time left does not make the others fail.
 constexpr absl::Duration kMinUnknownCancelTimeout = absl::Milliseconds(100);
 
+// Timeout of a request that the planner store a cancellation. An entry detects
+// a planner without a store within 1.7 s; a caller waits no longer than a
+// commit and the round trip to another region take.
+constexpr absl::Duration kCancelRelayTimeout = absl::Milliseconds(700);
+
 }  // namespace
 
 void FleetEntry::OnCancel(HttpExchange* exchange, const std::string& id) {
@@ -72,16 +77,13 @@
           this->FinishCancel(exchange, id);
           return;
         }
-        Submission cancelled;
-        cancelled.id = id;
         if (reply.error == PlatformError::kRefused &&
-            this->RelayToPlanner(
-                cancelled, true, deadline, [this, exchange, id](bool stored) {
-                  if (stored)
-                    this->FinishCancel(exchange, id);
-                  else
-                    this->Refuse(exchange, 504, id, "outcome-unknown");
-                }))
+            this->RelayCancel(id, deadline, [this, exchange, id](bool stored) {
+              if (stored)
+                this->FinishCancel(exchange, id);
+              else
+                this->Refuse(exchange, 504, id, "outcome-unknown");
+            }))
           return;
         if (BootClock().Now() + kStoreRetryDelay >= deadline) {
           this->Refuse(exchange, 504, id, "outcome-unknown");
@@ -98,6 +100,20 @@
       });
 }
 
+bool FleetEntry::RelayCancel(const std::string& id,
+                             absl::Time deadline,
+                             std::function<void(bool stored)> done) {
+  StoreRequest request;
+  request.submission.id = id;
+  request.kind = static_cast<uint8_t>(StoreRequestKind::kCancel);
+  return this->RelayToPlanner(
+      std::move(request),
+      std::min(deadline, BootClock().Now() + kCancelRelayTimeout),
+      [done = std::move(done)](const SubmissionReply& reply) {
+        done(reply.outcome == SubmissionOutcome::kStored);
+      });
+}
+
 void FleetEntry::FinishCancel(HttpExchange* exchange, const std::string& id) {
   this->log->Write(LogLine("submission_cancelled").Add("submission", id));
   this->SetState(id, SubmissionState::kCancelled);
@@ -150,17 +166,14 @@
       this->FinishUnknownCancel(cancel);
       continue;
     }
-    Submission cancelled;
-    cancelled.id = cancel.id;
-    if (refused && this->RelayToPlanner(cancelled, true, cancel.deadline,
-                                        [this, cancel](bool stored) {
-                                          if (stored)
-                                            this->FinishUnknownCancel(cancel);
-                                          else
-                                            this->Refuse(cancel.exchange, 504,
-                                                         cancel.id,
-                                                         "outcome-unknown");
-                                        }))
+    if (refused && this->RelayCancel(
+                       cancel.id, cancel.deadline, [this, cancel](bool stored) {
+                         if (stored)
+                           this->FinishUnknownCancel(cancel);
+                         else
+                           this->Refuse(cancel.exchange, 504, cancel.id,
+                                        "outcome-unknown");
+                       }))
       continue;
     if (refused)
       this->Refuse(cancel.exchange, 503, cancel.id, "store-unavailable");
--- a/fleet/fleet_message.h
+++ b/fleet/fleet_message.h
@@ -355,30 +355,50 @@
   }
 };
 
-// Entry to planner: store this submission, or its cancellation, for the entry,
-// whose own calls the store refuses.
+// The values are sent in StoreRequest::kind.
+enum class StoreRequestKind : uint8_t {
+  // Store the submission.
+  kStore = 0,
+  // Store its cancellation.
+  kCancel = 1,
+  // Store its fence; see fleet/submission_commit.h.
+  kFence = 2,
+};
+
+// Entry to planner: store this submission, its cancellation or its fence for
+// the entry, whose own calls the store refuses or does not answer.
 struct StoreRequest {
   // Identifies the request among those of all processes of this entry's VM;
   // repeated in StoreDone.
   uint64_t number = 0;
+  // Only the id is set unless it is to be stored.
   Submission submission;
-  // Cancels the submission, of which only the id is set.
-  bool cancel = false;
+  // A StoreRequestKind.
+  uint8_t kind = 0;
+  // Version of the submission's fence that the entry knows; 0 for none. The
+  // planner must not store the submission under another one: the entry may have
+  // fenced this request meanwhile.
+  int64_t fence_version = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->number, this->submission, this->cancel);
+    archive(this->number, this->submission, this->kind, this->fence_version);
   }
 };
 
-// Planner to entry: the row of the StoreRequest with this number is stored.
+// Planner to entry: the outcome of the StoreRequest with this number. That of a
+// cancellation is sent only once its row is stored.
 struct StoreDone {
   uint64_t epoch = 0;
   uint64_t number = 0;
+  // A SubmissionOutcome (fleet/submission_commit.h), by default kStored.
+  uint8_t outcome = 0;
+  // SubmissionReply::version.
+  int64_t version = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->epoch, this->number);
+    archive(this->epoch, this->number, this->outcome, this->version);
   }
 };
 
--- a/fleet/fleet_planner.h
+++ b/fleet/fleet_planner.h
@@ -185,15 +185,12 @@
   void HandleDeferredMessages(uint64_t read);
   void HandleNodeMessage(const std::string& vm, FleetMessage&& message);
   void OnStoreRequest(const std::string& vm, const StoreRequest& request);
-  // Stores a submission for an entry that the store refuses, unless it is
-  // stored or cancelled already.
-  void StoreSubmission(const std::string& vm,
-                       const StoreRequest& request,
-                       absl::Time deadline);
-  void OnSubmissionStored(const std::string& vm,
-                          const StoreRequest& request,
-                          absl::Time deadline,
-                          CommitReply&& reply);
+  // Stores or fences a submission for an entry that the store refuses, and
+  // sends it the outcome.
+  void CommitForEntry(const std::string& vm, const StoreRequest& request);
+  void OnCommittedForEntry(const std::string& vm,
+                           const StoreRequest& request,
+                           CommitReply&& reply);
   void OnWorkerNotice(const std::string& vm, WorkerNotice&& notice);
   void DescribeTo(const std::string& vm);
   // Writes lines on the long-running tasks that have had no run for long, with
--- a/fleet/fleet_planner_messages.cc
+++ b/fleet/fleet_planner_messages.cc
@@ -16,10 +16,6 @@
 static_assert(std::string_view(kProgressTable) < kVacantTable);
 static_assert(std::string_view(kSubmissionTable) < kVacantTable);
 
-// How long a planner tries to store a submission for an entry, which waits no
-// longer than that.
-constexpr absl::Duration kStoreForEntry = absl::Milliseconds(700);
-
 }  // namespace
 
 void FleetPlanner::OnNodeMessage(const std::string& node,
@@ -148,77 +144,6 @@
   this->SchedulePlan();
 }
 
-void FleetPlanner::OnStoreRequest(const std::string& node,
-                                  const StoreRequest& request) {
-  if (!request.cancel) {
-    this->StoreSubmission(node, request, BootClock().Now() + kStoreForEntry);
-    return;
-  }
-  const std::string& id = request.submission.id;
-  this->lease.Write(
-      {{kCancellationTable, id, ""}}, {},
-      [this, node, id, number = request.number] {
-        this->scheduler->Cancel(id, BootClock().Now());
-        this->nodes.Send(node, StoreDone{this->lease.Epoch(), number});
-        this->SchedulePlan();
-      });
-}
-
-void FleetPlanner::StoreSubmission(const std::string& node,
-                                   const StoreRequest& request,
-                                   absl::Time deadline) {
-  const std::string& id = request.submission.id;
-  // Not written with the lease's rows, since another entry may have stored or
-  // cancelled the submission.
-  this->store->Commit(
-      {.expects = {{kSubmissionTable, id, 0}, {kCancellationTable, id, 0}},
-       .puts = {{kSubmissionTable, id,
-                 Encode(SubmissionRow{request.submission})}}},
-      std::max(deadline - BootClock().Now(), absl::Milliseconds(1)),
-      [this, term = this->term, node, request, deadline](CommitReply&& reply) {
-        if (term == this->term && this->scheduler)
-          this->OnSubmissionStored(node, request, deadline, std::move(reply));
-      });
-}
-
-void FleetPlanner::OnSubmissionStored(const std::string& node,
-                                      const StoreRequest& request,
-                                      absl::Time deadline,
-                                      CommitReply&& reply) {
-  const absl::Time now = BootClock().Now();
-  const bool may_add = !this->CommitsFailing(now);
-  bool stored = !reply.error;
-  if (stored && may_add)
-    this->AddSubmission(request.submission, std::nullopt);
-  for (const StoreRow& row : reply.rows) {
-    if (row.table != kSubmissionTable)
-      continue;
-    stored = true;
-    if (may_add)
-      this->AddSubmissionRow(row);
-  }
-  if (stored) {
-    this->log->Write(
-        LogLine("submission_stored")
-            .Add("submission", request.submission.id)
-            .Add("entry", node)
-            .Add("row_version", RowVersion(reply, kSubmissionTable))
-            .Add("commits_failing", !may_add));
-    this->nodes.Send(node, StoreDone{this->lease.Epoch(), request.number});
-    this->SchedulePlan();
-    return;
-  }
-  if (reply.error == PlatformError::kUnknownOutcome && now < deadline) {
-    this->StoreSubmission(node, request, deadline);
-    return;
-  }
-  // The entry answers that the outcome is unknown.
-  this->log->Write(LogLine("submission_not_stored", LogLevel::kWarning)
-                       .Add("submission", request.submission.id)
-                       .Add("entry", node)
-                       .Add("error", reply.error));
-}
-
 void FleetPlanner::OnWorkerNotice(const std::string& node,
                                   WorkerNotice&& notice) {
   for (const EndedRun& end : notice.ended)
--- a/fleet/node_row.h
+++ b/fleet/node_row.h
@@ -23,6 +23,7 @@
 inline constexpr char kCancellationTable[] = "cancellation";
 inline constexpr char kProgressTable[] = "progress";
 inline constexpr char kVacantTable[] = "vacant";
+inline constexpr char kFenceTable[] = "fence";
 
 // Part of the store (StoreOptions::part) that holds all rows of the system.
 inline constexpr char kFleetPart[] = "fleet";
--- /dev/null
+++ b/fleet/testing/store_gate_test.cc
@@ -0,0 +1,226 @@
+#include "fleet/store_gate.h"
+
+#include <gtest/gtest.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace cuminjunction {
+namespace {
+
+const absl::Time kStart = absl::FromUnixSeconds(1000);
+
+// Deadline of the submissions of a test, as of a caller that waits for 3 s.
+const absl::Time kDeadline = kStart + absl::Milliseconds(2850);
+
+constexpr absl::Duration kStep = absl::Milliseconds(20);
+
+class StoreGateTest : public testing::Test {
+ protected:
+  // Adds a submission and returns what is sent then.
+  std::vector<StoreSend> Add(uint64_t submission, bool unresolved = false) {
+    EXPECT_TRUE(this->gate.Add(submission, kDeadline, 100, unresolved));
+    return this->Decide().sends;
+  }
+
+  GateDecisions Decide() {
+    GateDecisions decisions = this->gate.Decide(this->conditions, this->now);
+    for (const StoreSend& send : decisions.sends)
+      this->sent[send.attempt] = this->now;
+    this->unknown += decisions.unknown.size();
+    this->refused += decisions.refused.size();
+    return decisions;
+  }
+
+  // Lets time pass until `to`, and returns all that is sent meanwhile.
+  std::vector<StoreSend> RunUntil(absl::Time to) {
+    std::vector<StoreSend> sends;
+    while (this->now < to) {
+      this->now += kStep;
+      const GateDecisions decisions = this->Decide();
+      sends.insert(sends.end(), decisions.sends.begin(), decisions.sends.end());
+    }
+    return sends;
+  }
+
+  void Reply(const StoreSend& send, SendResult result) {
+    this->gate.OnReply(send, this->sent[send.attempt], result, this->now);
+  }
+
+  StoreGate gate;
+  GateConditions conditions;
+  absl::Time now = kStart;
+  std::map<uint64_t, absl::Time> sent;
+  size_t unknown = 0;
+  size_t refused = 0;
+};
+
+// Guards against an outage that leaves each submission of its time without a
+// known outcome: all were sent to the silent store.
+TEST_F(StoreGateTest, ASilentStoreGetsFewSubmissions) {
+  size_t writes = 0;
+  for (uint64_t i = 0; i < 100; ++i) {
+    writes += this->Add(i).size();
+    this->now += kStep;
+  }
+  // Within the 100 ms until the first one is late.
+  EXPECT_LE(writes, 7u);
+  this->RunUntil(kDeadline + absl::Seconds(1));
+  EXPECT_EQ(this->unknown, writes);
+  EXPECT_EQ(this->refused, 100 - writes);
+}
+
+// Guards against waiting submissions that are sent in any order, or only at
+// the next tick, although the store answers again.
+TEST_F(StoreGateTest, AnAnswerReleasesTheMostUrgentFirst) {
+  const StoreSend first = this->Add(1).front();
+  const StoreSend second = this->Add(2).front();
+  this->now += absl::Milliseconds(150);
+  EXPECT_TRUE(this->gate.Add(3, kDeadline + absl::Seconds(1), 100, false));
+  EXPECT_TRUE(this->Add(4).empty());
+  EXPECT_TRUE(this->gate.IsHolding());
+  this->Reply(first, SendResult::kAnswered);
+  this->gate.Remove(1);
+  this->Reply(second, SendResult::kAnswered);
+  this->gate.Remove(2);
+  const GateDecisions decisions = this->Decide();
+  ASSERT_EQ(decisions.sends.size(), 2u);
+  EXPECT_EQ(decisions.sends[0].submission, 4u);
+  EXPECT_EQ(decisions.sends[1].submission, 3u);
+  EXPECT_FALSE(this->gate.IsHolding());
+}
+
+// Guards against an answer of unknown outcome long before the caller's
+// deadline, and against repeats that take the entry's processor.
+TEST_F(StoreGateTest, ALostAnswerIsFollowedByRepeatsUntilTheDeadline) {
+  StoreSend send = this->Add(1).front();
+  this->conditions.reads_fail = true;
+  size_t repeats = 0;
+  while (this->now < kDeadline - absl::Milliseconds(400)) {
+    this->Reply(send, SendResult::kUnknown);
+    const auto sends = this->RunUntil(this->now + absl::Milliseconds(100));
+    ASSERT_EQ(sends.size(), 1u);
+    EXPECT_EQ(sends.front().step, StoreStep::kWrite);
+    send = sends.front();
+    ++repeats;
+  }
+  EXPECT_GE(repeats, 20u);
+  EXPECT_EQ(this->unknown, 0u);
+  this->Reply(send, SendResult::kUnknown);
+  const auto last = this->RunUntil(kDeadline + absl::Milliseconds(100));
+  ASSERT_FALSE(last.empty());
+  EXPECT_EQ(last.back().step, StoreStep::kFence);
+  EXPECT_EQ(this->unknown, 1u);
+}
+
+// Guards against repeats of many submissions at once: their number a second is
+// bounded over all of them.
+TEST_F(StoreGateTest, RepeatsOfManySubmissionsShareOneRate) {
+  size_t sends = 0;
+  for (uint64_t i = 0; i < 50; ++i)
+    sends += this->Add(i, /*unresolved=*/true).size();
+  for (int i = 0; i < 50; ++i) {
+    this->now += kStep;
+    for (const StoreSend& send : this->Decide().sends) {
+      ++sends;
+      this->Reply(send, SendResult::kUnknown);
+    }
+  }
+  EXPECT_LE(sends, 42u);
+  EXPECT_GE(sends, 20u);
+}
+
+// Guards against a refusal that is not true: a submission of which a copy is on
+// its way must not be refused.
+TEST_F(StoreGateTest, OnlyASubmissionWithoutACopyIsRefused) {
+  const StoreSend send = this->Add(1).front();
+  this->conditions.planner_available = true;
+  this->Reply(send, SendResult::kNotDone);
+  // Before the direct repeat.
+  const auto relayed = this->RunUntil(this->now + kStep);
+  ASSERT_EQ(relayed.size(), 1u);
+  EXPECT_EQ(relayed.front().route, StoreRoute::kPlanner);
+  // The store refuses all direct repeats, and the planner does not answer.
+  while (this->now < kDeadline + absl::Seconds(1)) {
+    this->now += kStep;
+    for (const StoreSend& each : this->Decide().sends) {
+      if (each.route == StoreRoute::kDirect)
+        this->Reply(each, SendResult::kNotDone);
+    }
+  }
+  EXPECT_EQ(this->refused, 0u);
+  EXPECT_EQ(this->unknown, 1u);
+}
+
+// Guards against a caller that waits for its whole deadline for a refusal, and
+// against one that is refused while it could still be stored.
+TEST_F(StoreGateTest, ARefusedWriteWaitsWhileItCouldBeStored) {
+  StoreSend send = this->Add(1).front();
+  while (this->refused == 0) {
+    this->now += kStep;
+    for (const StoreSend& each : this->Decide().sends)
+      this->Reply(each, SendResult::kNotDone);
+    if (this->now == kStart + kStep)
+      this->Reply(send, SendResult::kNotDone);
+    ASSERT_LT(this->now, kDeadline);
+  }
+  EXPECT_GE(this->now, kDeadline - absl::Milliseconds(320));
+  EXPECT_EQ(this->unknown, 0u);
+}
+
+// Guards against submissions that wait although the store answers: one that
+// went silent gets no first writes, so that a read has to find out.
+TEST_F(StoreGateTest, AReadFindsOutThatTheStoreAnswers) {
+  this->conditions.reads_fail = true;
+  EXPECT_TRUE(this->gate.Add(1, kDeadline, 100, false));
+  const GateDecisions first = this->Decide();
+  EXPECT_TRUE(first.probe);
+  EXPECT_TRUE(first.sends.empty());
+  this->gate.OnProbe(false, this->now, this->now);
+  EXPECT_FALSE(this->Decide().probe);
+  this->now += absl::Milliseconds(200);
+  EXPECT_TRUE(this->Decide().probe);
+  this->gate.OnProbe(true, this->now, this->now);
+  EXPECT_EQ(this->Decide().sends.size(), 1u);
+}
+
+// Guards against a wait for the time-out of a call whose answer was lost.
+TEST_F(StoreGateTest, ALateSubmissionIsSentAgainOnceTheStoreAnswers) {
+  this->Add(1);
+  this->now += absl::Milliseconds(150);
+  const StoreSend second = this->Add(2).front();
+  this->now += kStep;
+  this->Reply(second, SendResult::kAnswered);
+  this->gate.Remove(2);
+  const GateDecisions decisions = this->Decide();
+  ASSERT_EQ(decisions.sends.size(), 1u);
+  EXPECT_EQ(decisions.sends.front().submission, 1u);
+}
+
+// Guards against memory that grows with an outage.
+TEST_F(StoreGateTest, WaitingSubmissionsAreLimitedInNumberAndSize) {
+  this->conditions.reads_fail = true;
+  EXPECT_FALSE(this->gate.Add(1, kDeadline, 100 << 20, false));
+  for (uint64_t i = 0; i < 256; ++i)
+    EXPECT_TRUE(this->gate.Add(i, kDeadline, 64 << 10, false));
+  EXPECT_FALSE(this->gate.Add(256, kDeadline, 0, false));
+  this->gate.Remove(7);
+  EXPECT_TRUE(this->gate.Add(256, kDeadline, 64 << 10, false));
+}
+
+// Guards against answers that come after the process has ended.
+TEST_F(StoreGateTest, AStopBringsAllDeadlinesForward) {
+  const StoreSend send = this->Add(1).front();
+  this->gate.LimitDeadlines(this->now + absl::Milliseconds(500));
+  this->RunUntil(this->now + absl::Milliseconds(600));
+  EXPECT_EQ(this->unknown, 1u);
+  this->Reply(send, SendResult::kUnknown);
+  EXPECT_TRUE(this->gate.Add(2, kDeadline, 0, true));
+  this->RunUntil(this->now + absl::Milliseconds(100));
+  EXPECT_EQ(this->unknown, 2u);
+}
+
+}  // namespace
+}  // namespace cuminjunction
--- a/fleet/testing/unknown_cancels_test.cc
+++ b/fleet/testing/unknown_cancels_test.cc
@@ -1,6 +1,7 @@
 // Tests of cancels of submissions that are not stored, with a whole entry.
 // Waits end as soon as the awaited state is reached.
 
+#include <map>
 #include <set>
 #include <string>
 #include <thread>
@@ -8,6 +9,7 @@
 
 #include "base/time.h"
 #include "fleet/node_row.h"
+#include "fleet/submission_commit.h"
 #include "fleet/testing/fleet_fixture.h"
 #include "fleet/testing/port_process.h"
 
@@ -72,7 +74,9 @@
 // the submission, and the planner's commit is carried out after the cancel.
 TEST_F(UnknownCancelsTest, ASubmissionThatThePlannerStoresLateDoesNotRun) {
   this->StartFleet(absl::Milliseconds(50));
-  this->store->KeepNextWrites(kSubmissionTable, kAll);
+  // A fence would keep the submission from being stored, as the cancel does.
+  this->store->KeepNextWrites(
+      std::set<std::string>{kSubmissionTable, kFenceTable}, kAll);
   EXPECT_EQ(this->Submit(kLongPatienceMs), 504);
   EXPECT_EQ(this->Cancel(kSubmissionId), 410);
   this->store->KeepNextWrites(kSubmissionTable, 0);
@@ -93,7 +97,8 @@
             [this] { this->connected = true; },
             [this](FleetMessage&& message) {
               if (const auto* done = std::get_if<StoreDone>(&message))
-                this->stored.insert(done->number);
+                this->outcomes[done->number] =
+                    static_cast<SubmissionOutcome>(done->outcome);
             }) {}
 
   bool IsConnected() {
@@ -104,14 +109,14 @@
     this->process.Call([&] { this->process.Send(request); });
   }
 
-  // Numbers of the requests that the planner has carried out.
-  std::set<uint64_t> Stored() {
-    return this->process.Call([this] { return this->stored; });
+  // Outcomes of the requests that the planner has answered, by number.
+  std::map<uint64_t, SubmissionOutcome> Outcomes() {
+    return this->process.Call([this] { return this->outcomes; });
   }
 
  private:
   bool connected = false;
-  std::set<uint64_t> stored;
+  std::map<uint64_t, SubmissionOutcome> outcomes;
   // Last, so that its thread ends first.
   PortProcess process;
 };
@@ -149,10 +154,11 @@
   refused.Send(request(1, cancelled));
   refused.Send(request(2, known));
   refused.Send(request(3, unknown));
-  EXPECT_TRUE(this->WaitUntil([&] {
-    return refused.Stored().contains(2) && refused.Stored().contains(3);
-  }));
-  EXPECT_FALSE(refused.Stored().contains(1));
+  EXPECT_TRUE(this->WaitUntil([&] { return refused.Outcomes().size() == 3; }));
+  EXPECT_EQ(refused.Outcomes(), (std::map<uint64_t, SubmissionOutcome>{
+                                    {1, SubmissionOutcome::kCancelled},
+                                    {2, SubmissionOutcome::kStored},
+                                    {3, SubmissionOutcome::kStored}}));
   EXPECT_EQ(this->store->CountRows(kSubmissionTable), 2u);
   EXPECT_EQ(this->store->CountBytes(kSubmissionTable),
             Encode(SubmissionRow{stored}).size() +
--- a/testing/support/store_standin.cc
+++ b/testing/support/store_standin.cc
@@ -127,9 +127,9 @@
   this->refuse_writes = count;
 }
 
-void StoreStandin::KeepNextWrites(const std::string& table, int count) {
+void StoreStandin::KeepNextWrites(std::set<std::string> tables, int count) {
   absl::MutexLock lock(&this->mutex);
-  this->kept_table = table;
+  this->kept_tables = std::move(tables);
   this->keep = count;
 }
 
@@ -167,7 +167,7 @@
     return false;
   const json& puts = body["setKeys"];
   if (std::none_of(puts.begin(), puts.end(), [this](const json& put) {
-        return put["table"] == this->kept_table;
+        return this->kept_tables.contains(put["table"].get<std::string>());
       }))
     return false;
   --this->keep;
--- a/testing/support/store_standin.h
+++ b/testing/support/store_standin.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
+#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -89,7 +90,11 @@
 
   // Leaves the next transactions that write to this table without an answer,
   // and keeps them until CarryOutKept().
-  void KeepNextWrites(const std::string& table, int count);
+  void KeepNextWrites(const std::string& table, int count) {
+    this->KeepNextWrites(std::set<std::string>{table}, count);
+  }
+  // The same for transactions that write to one of these tables.
+  void KeepNextWrites(std::set<std::string> tables, int count);
 
   // Carries out the transactions that were kept, each if its condition holds.
   void CarryOutKept();
@@ -130,7 +135,7 @@
   bool refusing = false;
   int lose = 0;
   int refuse_writes = 0;
-  std::string kept_table;
+  std::set<std::string> kept_tables;
   int keep = 0;
   std::vector<HttpRequest> kept;
   std::map<std::string, int> writes;
