Remove fences that no copy of a write can outlive

Fences stayed in the store. The planner now reads the table every 5 s and removes rows that it has seen for 30 s in one version, in a transaction that expects these versions, so that a fence that was written anew is kept. StoredFences decides.

A property test runs writes, late writes, fences, late fences, repeats at other entries, cancels, crashes, removals and takeovers on a model of the rows that shares the code which builds the transactions and interprets replies. It detects each removed guard: the condition on `submission` in the fence, the condition on `fence` in the write, and the removal after 30 s (5 s in the test).

StoreGate counts all sends without a reply, also those of submissions that were answered meanwhile, so that the 16 connections to the store are not all taken by repeats.

--- a/fleet/fleet_planner.cc
+++ b/fleet/fleet_planner.cc
@@ -192,6 +192,7 @@
       [now](const SentQuery& query) { return query.deadline < now; }, now);
   this->ReconcileFromFeeds(now);
   this->RemoveExpiredSubmissions(now);
+  this->RemoveFences(now);
   this->SendWaitingCounts(now);
   this->PlanAndSend();
   this->LogHeldTasks(now);
@@ -250,6 +251,8 @@
   this->queries.clear();
   this->stale_progress.clear();
   this->held_lines.clear();
+  this->fences = StoredFences();
+  this->next_fence_read = absl::InfinitePast();
   this->held_tasks.Set(0);
   this->reading_submissions = false;
   this->feeds_in_progress.clear();
--- a/fleet/fleet_planner.h
+++ b/fleet/fleet_planner.h
@@ -37,6 +37,7 @@
 #include "fleet/fleet_message.h"
 #include "fleet/planner_lease.h"
 #include "fleet/planner_nodes.h"
+#include "fleet/stored_fences.h"
 #include "fleet/vacant_workers.h"
 #include "platform/store.h"
 #include "submission/policy.h"
@@ -168,6 +169,8 @@
   // Removes old cancellations of submissions that were never stored. Returns
   // true if there may be more.
   bool RemoveEarlyCancellations(absl::Time now);
+  // Reads the fences at a low rate, and removes old ones.
+  void RemoveFences(absl::Time now);
   void OnNodeMessage(const std::string& vm, FleetMessage&& message);
   // Defers a message until the submissions that it names have been read and a
   // grant may be made to the node, and with it all later messages of that node.
@@ -275,6 +278,8 @@
   absl::Time next_waiting_notice = absl::InfinitePast();
   absl::Time next_removal = absl::InfinitePast();
   absl::Time next_held_check = absl::InfinitePast();
+  absl::Time next_fence_read = absl::InfinitePast();
+  StoredFences fences;
   // Held tasks that have a line, and when they get the next one.
   std::map<TaskRef, absl::Time> held_lines;
   // Progress rows of submissions whose final state is stored, to be removed
--- a/fleet/fleet_planner_requests.cc
+++ b/fleet/fleet_planner_requests.cc
@@ -1,4 +1,5 @@
-// A planner's commits on behalf of entries that the store refuses.
+// A planner's commits on behalf of entries that the store refuses, and its
+// removal of fences.
 
 #include <utility>
 
@@ -13,6 +14,11 @@
 // Timeout of a commit for an entry, which waits no longer than 700 ms.
 constexpr absl::Duration kCommitForEntry = absl::Milliseconds(600);
 
+// Interval of the reads of the fences. The table is nearly always empty, so the
+// whole of it is read.
+constexpr absl::Duration kFenceReadInterval = absl::Seconds(5);
+constexpr absl::Duration kRemovalTimeout = absl::Seconds(2);
+
 bool IsFence(const StoreRequest& request) {
   return request.kind == static_cast<uint8_t>(StoreRequestKind::kFence);
 }
@@ -87,4 +93,28 @@
                       static_cast<uint8_t>(result.outcome), result.version});
 }
 
+void FleetPlanner::RemoveFences(absl::Time now) {
+  if (now < this->next_fence_read)
+    return;
+  this->next_fence_read = now + kFenceReadInterval;
+  this->ReadTable(kFenceTable, [this](RowsReply&& reply) {
+    if (reply.error)
+      return;
+    const absl::Time read = BootClock().Now();
+    this->fences.Update(reply.rows, read);
+    const auto removal = this->fences.Removal(read);
+    if (!removal)
+      return;
+    // Not written with the lease's rows: it depends on nothing but the versions
+    // of the fences. After a conflict the next read shows the new versions.
+    this->store->Commit(
+        *removal, kRemovalTimeout,
+        [this, count = removal->removes.size()](CommitReply&& committed) {
+          this->log->Write(LogLine("fences_removed")
+                               .Add("count", count)
+                               .Add("error", committed.error));
+        });
+  });
+}
+
 }  // namespace cuminjunction
--- a/fleet/store_gate.cc
+++ b/fleet/store_gate.cc
@@ -53,14 +53,12 @@
   return attempt.in_flight && now - attempt.sent > this->options.late_after;
 }
 
-void StoreGate::CountSends(absl::Time now) {
+void StoreGate::CountUnsettled(absl::Time now) {
   for (size_t i = 0; i < kRoutes; ++i) {
     Route& route = this->routes[i];
-    route.in_flight = 0;
     route.unsettled = 0;
     for (const auto& [key, entry] : this->pending) {
       const Attempt& attempt = entry.attempts[i];
-      route.in_flight += attempt.in_flight ? 1 : 0;
       route.unsettled += attempt.lost || this->IsLate(attempt, now) ? 1 : 0;
     }
   }
@@ -90,9 +88,10 @@
       return false;
   }
   if (entry.unresolved || entry.outstanding > 0)
-    return now >= route.next_repeat;
+    return now >= route.next_repeat &&
+           route.outstanding < this->options.max_in_flight_repeats;
   return this->IsOpen(route, now) &&
-         route.in_flight < this->options.max_in_flight;
+         route.outstanding < this->options.max_in_flight;
 }
 
 StoreSend StoreGate::Send(const Key& key,
@@ -107,9 +106,8 @@
     entry->unresolved = true;
     if (route_name == StoreRoute::kDirect)
       entry->direct_unknown = true;
-  } else {
-    ++route.in_flight;
   }
+  ++route.outstanding;
   if (entry->unresolved || entry->outstanding > 0)
     route.next_repeat = now + this->options.repeat_interval;
   attempt = {.number = this->next_attempt++,
@@ -158,7 +156,7 @@
   if (conditions.reads_fail != this->reads_failed)
     direct.silent = conditions.reads_fail;
   this->reads_failed = conditions.reads_fail;
-  this->CountSends(now);
+  this->CountUnsettled(now);
   this->holding = false;
   std::vector<uint64_t> removed;
   for (auto& [key, entry] : this->pending) {
@@ -198,8 +196,11 @@
                         SendResult result,
                         absl::Time now) {
   Route& route = this->routes[static_cast<size_t>(send.route)];
+  --route.outstanding;
   switch (result) {
     case SendResult::kAnswered:
+      // Submissions that wait for their repeat follow at the pace of answers.
+      route.next_repeat = absl::InfinitePast();
       route.silent = false;
       route.next_first = absl::InfinitePast();
       route.proof = std::max(route.proof, sent);
@@ -228,8 +229,10 @@
     return;
   attempt.in_flight = false;
   attempt.lost = result == SendResult::kUnknown;
-  if (result != SendResult::kAnswered)
+  if (result == SendResult::kUnknown)
     attempt.next_send = now + this->options.retry_delay;
+  else if (result == SendResult::kNotDone)
+    attempt.next_send = now + this->options.refused_delay;
 }
 
 void StoreGate::OnProbe(bool answered, absl::Time sent, absl::Time /*now*/) {
--- a/fleet/store_gate.h
+++ b/fleet/store_gate.h
@@ -29,9 +29,13 @@
 namespace cuminjunction {
 
 struct StoreGateOptions {
-  // The most submissions that are sent on one route and have no answer. At 28
-  // ms an answer from the other region, 8 of them allow 285 a second.
+  // The most sends without an answer on one route after which a submission is
+  // sent for the first time. At 28 ms an answer from the other region, 8 of
+  // them allow 285 a second.
   size_t max_in_flight = 8;
+  // The same for repeats. The 16 connections to the store also serve the feeds
+  // and the planner's commits.
+  size_t max_in_flight_repeats = 12;
   // A submission without an answer for longer than this is late. Answers take
   // about 4 ms, and 28 ms from the other region.
   absl::Duration late_after = absl::Milliseconds(100);
@@ -180,7 +184,8 @@
     absl::Time next_repeat = absl::InfinitePast();
     // Send time of the latest call that was answered.
     absl::Time proof = absl::InfinitePast();
-    size_t in_flight = 0;
+    // Sends without a reply.
+    size_t outstanding = 0;
     // Submissions that are late or have lost their answer.
     size_t unsettled = 0;
   };
@@ -189,7 +194,7 @@
 
   Pending* Find(uint64_t submission);
   bool IsLate(const Attempt& attempt, absl::Time now) const;
-  void CountSends(absl::Time now);
+  void CountUnsettled(absl::Time now);
   // True if a submission that was never sent may be sent on the route.
   bool IsOpen(const Route& route, absl::Time now) const;
   bool MaySend(const Key& key,
