--- a/fleet/store_gate.cc
+++ b/fleet/store_gate.cc
@@ -139,9 +139,9 @@
     return true;
   }
   const bool relay =
-      sent_before
-          ? !attempt.in_flight || now - attempt.sent > this->options.relay_after
-          : !this->IsOpen(direct, now) && !conditions.planner_is_own;
+      sent_before ? !attempt.in_flight || direct.silent ||
+                        now - attempt.sent > this->options.relay_after
+                  : !this->IsOpen(direct, now) && !conditions.planner_is_own;
   if (!conditions.planner_available || !relay ||
       !this->MaySend(key, *entry, StoreRoute::kPlanner, step, now))
     return false;
--- a/fleet/store_gate.h
+++ b/fleet/store_gate.h
@@ -40,7 +40,8 @@
   // about 4 ms, and 28 ms from the other region.
   absl::Duration late_after = absl::Milliseconds(100);
   // A submission without an answer for longer than this is sent to the planner
-  // as well. A slow store answers in 240 ms, which the planner can't shorten.
+  // as well, or at once if an earlier answer was lost and none came since. A
+  // slow store answers in 240 ms, which the planner can't shorten.
   absl::Duration relay_after = absl::Milliseconds(300);
   // No further submission is sent on a route while this many of those sent are
   // late or have lost their answers.
