--- a/fleet/fleet_planner.cc
+++ b/fleet/fleet_planner.cc
@@ -205,6 +205,7 @@
       [now](const SentQuery& query) { return query.deadline < now; }, now);
   this->ReconcileFromFeeds(now);
   this->RemoveExpiredSubmissions(now);
+  this->RemoveFences(now);
   this->SendWaitingCounts(now);
   this->PlanAndSend();
   this->LogHeldTasks(now);
@@ -264,6 +265,8 @@
   this->queries.clear();
   this->stale_progress.clear();
   this->held_lines.clear();
+  this->fences = StoredFences();
+  this->next_fence_read = absl::InfinitePast();
   this->held_tasks.Set(0);
   this->evacuated_domains.Set(0);
   this->logged_evacuations = {};
--- a/fleet/fleet_planner.h
+++ b/fleet/fleet_planner.h
@@ -37,6 +37,7 @@
 #include "fleet/fleet_message.h"
 #include "fleet/planner_lease.h"
 #include "fleet/planner_nodes.h"
+#include "fleet/stored_fences.h"
 #include "fleet/vacant_workers.h"
 #include "platform/store.h"
 #include "submission/evacuation.h"
@@ -176,6 +177,8 @@
   // Removes old cancellations of submissions that were never stored. Returns
   // true if there may be more.
   bool RemoveEarlyCancellations(absl::Time now);
+  // Reads the fences at a low rate, and removes old ones.
+  void RemoveFences(absl::Time now);
   void OnNodeMessage(const std::string& vm, FleetMessage&& message);
   // Defers a message until the submissions that it names have been read and a
   // grant may be made to the node, and with it all later messages of that node.
@@ -193,15 +196,12 @@
   void HandleDeferredMessages(uint64_t read);
   void HandleNodeMessage(const std::string& vm, FleetMessage&& message);
   void OnStoreRequest(const std::string& vm, const StoreRequest& request);
-  // Stores a submission for an entry that the store refuses, unless it is
-  // stored or cancelled already.
-  void StoreSubmission(const std::string& vm,
-                       const StoreRequest& request,
-                       absl::Time deadline);
-  void OnSubmissionStored(const std::string& vm,
-                          const StoreRequest& request,
-                          absl::Time deadline,
-                          CommitReply&& reply);
+  // Stores or fences a submission for an entry that the store refuses, and
+  // sends it the outcome.
+  void CommitForEntry(const std::string& vm, const StoreRequest& request);
+  void OnCommittedForEntry(const std::string& vm,
+                           const StoreRequest& request,
+                           CommitReply&& reply);
   void OnWorkerNotice(const std::string& vm, WorkerNotice&& notice);
   void DescribeTo(const std::string& vm);
   // Writes lines on the long-running tasks that have had no run for long, with
@@ -308,6 +308,8 @@
   absl::Time next_waiting_notice = absl::InfinitePast();
   absl::Time next_removal = absl::InfinitePast();
   absl::Time next_held_check = absl::InfinitePast();
+  absl::Time next_fence_read = absl::InfinitePast();
+  StoredFences fences;
   // Held tasks that have a line, and when they get the next one.
   std::map<TaskRef, absl::Time> held_lines;
   // Progress rows of submissions whose final state is stored, to be removed
