--- a/fleet/fleet_planner.cc
+++ b/fleet/fleet_planner.cc
@@ -92,8 +92,6 @@
       takeovers_total(metrics->GetCounter("planner_takeovers_total")),
       held_tasks(metrics->GetGauge("planner_held_tasks")),
       evacuated_domains(metrics->GetGauge("planner_evacuated_domains")),
-      evacuation_moves_total(
-          metrics->GetCounter("planner_evacuation_moves_total")),
       start_wait_seconds(metrics->GetHistogram("planner_start_wait_seconds")),
       store_wait_seconds(metrics->GetHistogram("planner_store_wait_seconds")),
       load_seconds(metrics->GetHistogram("planner_load_seconds")),
--- a/fleet/fleet_planner.h
+++ b/fleet/fleet_planner.h
@@ -263,8 +263,6 @@
   Gauge& held_tasks;
   // Evacuated failure domains; 0 unless this process plans.
   Gauge& evacuated_domains;
-  // Long-running tasks that were stopped because their domain is evacuated.
-  Counter& evacuation_moves_total;
   // Time from when a step could start until the order for each of its tasks.
   Histogram& start_wait_seconds;
   // Time from the end of a run, or another change, until it is stored.
