Combine the writes of submissions while the store is slow

Each submission, cancellation and commit of the planner was a transaction of its own, so that the store refused almost all of them, the planner's commits among them, and entries answered 504. Commits that wait share a transaction now (CommitBatcher). While the store is slow an entry sends its writes through the planner alone, which combines those of all entries, and the planner's own commits wait for up to 2.5 s instead of being repeated after 0.5 s.

--- a/fleet/fleet_entry.cc
+++ b/fleet/fleet_entry.cc
@@ -128,8 +128,7 @@
               [this] {
                 return GateConditions{
                     .reads_fail = this->follower->IsStoreUnreachable(),
-                    .planner_available = this->port->IsConnected() &&
-                                         !this->view.commits_failing,
+                    .planner_available = this->MayPlannerStore(),
                     .planner_is_own = this->planner->IsPlanning()};
               },
           .relay =
--- a/fleet/fleet_entry.h
+++ b/fleet/fleet_entry.h
@@ -93,6 +93,8 @@
   void OnUnknownCancelsReply(std::vector<UnknownCancel>&& cancels,
                              std::error_code error);
   void FinishUnknownCancel(const UnknownCancel& cancel);
+  // A planner is connected that may reach the store.
+  bool MayPlannerStore() const;
   // Sends a request, of which the number is set here, to the planner. Returns
   // false, without a call of `done`, when no planner with a reachable store is
   // connected. `done` gets kUnknown when no answer came in time; the row may
--- a/fleet/fleet_entry_submit.cc
+++ b/fleet/fleet_entry_submit.cc
@@ -86,13 +86,19 @@
   }
 }
 
+bool FleetEntry::MayPlannerStore() const {
+  // The commits of a planner also count as failing while the store is slow for
+  // all.
+  return this->port->IsConnected() &&
+         (!this->view.commits_failing || !this->follower->IsStoreUnreachable());
+}
+
 bool FleetEntry::RelayToPlanner(
     StoreRequest request,
     absl::Time deadline,
     std::function<void(const SubmissionReply&)> done) {
   const absl::Duration left = deadline - BootClock().Now();
-  if (!this->port->IsConnected() || this->view.commits_failing ||
-      left <= absl::ZeroDuration())
+  if (!this->MayPlannerStore() || left <= absl::ZeroDuration())
     return false;
   const uint64_t number = this->next_relay_number++;
   this->pending_relays[number] = std::move(done);
--- a/fleet/fleet_planner.cc
+++ b/fleet/fleet_planner.cc
@@ -57,10 +57,6 @@
 // are no longer placed there are removed.
 constexpr size_t kMinSentStarts = 200;
 
-// StopOrder::reason of a long-running task that moves out of an evacuated
-// failure domain.
-constexpr std::string_view kEvacuatedReason = "evacuated";
-
 // Limit of the states in one message.
 constexpr size_t kMaxStatesInMessage = 2000;
 
@@ -80,6 +76,7 @@
                            Metrics* metrics)
     : context(context),
       store(store),
+      batcher(context, store),
       vm(vm),
       retention(retention),
       evacuation_bound(evacuation_bound),
--- a/fleet/fleet_planner.h
+++ b/fleet/fleet_planner.h
@@ -34,6 +34,7 @@
 #include "absl/time/time.h"
 #include "base/log.h"
 #include "base/metrics.h"
+#include "fleet/commit_batcher.h"
 #include "fleet/fleet_message.h"
 #include "fleet/planner_lease.h"
 #include "fleet/planner_nodes.h"
@@ -249,6 +250,8 @@
 
   boost::asio::io_context* context;
   Store* store;
+  // Sends the commits of submissions that the planner stores for entries.
+  CommitBatcher batcher;
   std::string vm;
   absl::Duration retention;
   absl::Duration evacuation_bound;
--- a/fleet/fleet_planner_requests.cc
+++ b/fleet/fleet_planner_requests.cc
@@ -12,7 +12,7 @@
 namespace {
 
 // Timeout of a commit for an entry, which waits no longer than 700 ms.
-constexpr absl::Duration kCommitForEntry = absl::Milliseconds(600);
+constexpr absl::Duration kCommitForEntry = absl::Milliseconds(2500);
 
 // Interval of the reads of the fences. The table is nearly always empty, so the
 // whole of it is read.
@@ -50,7 +50,7 @@
   // Not written with the lease's rows, since another entry may have stored or
   // cancelled the submission. The entry repeats the request: what the reply to
   // a repeat here says would not be true of the first copy.
-  this->store->Commit(
+  this->batcher.Commit(
       IsFence(request)
           ? SubmissionFence(request.submission.id)
           : SubmissionWrite(request.submission, request.fence_version),
--- a/fleet/planner_lease.cc
+++ b/fleet/planner_lease.cc
@@ -15,6 +15,10 @@
 // Timeout of one call. A slow store answers in 240 ms (60 times 4 ms).
 constexpr absl::Duration kCallTimeout = absl::Milliseconds(500);
 
+// Timeout after a call without an answer: a store that carries transactions out
+// one after another may take a second, and each further copy adds to its queue.
+constexpr absl::Duration kSlowCallTimeout = absl::Milliseconds(2500);
+
 // A lease row that has not changed for this long has no running holder: a
 // holder renews it every kRenewInterval.
 constexpr absl::Duration kStaleAfter = absl::Milliseconds(1100);
@@ -295,7 +299,7 @@
 
 void PlannerLease::SendCopy() {
   this->store->Commit(
-      this->commit, kCallTimeout,
+      this->commit, this->store_is_slow ? kSlowCallTimeout : kCallTimeout,
       [this, epoch = this->row.epoch, sequence = this->row.sequence,
        sent = BootClock().Now()](CommitReply&& reply) {
         if (this->IsInFlight(epoch, sequence))
@@ -340,6 +344,8 @@
                        .Add("epoch", this->row.epoch)
                        .Add("sequence", this->row.sequence)
                        .Add("error", reply.error));
+  if (reply.error == PlatformError::kUnknownOutcome)
+    this->store_is_slow = true;
   this->ScheduleRetry();
 }
 
@@ -357,6 +363,7 @@
 
 void PlannerLease::OnCommitted(int64_t committed_version, absl::Time sent) {
   this->in_flight = false;
+  this->store_is_slow = BootClock().Now() - sent > kSlowReadThreshold;
   this->version = committed_version;
   this->last_commit_time = sent;
   std::vector<std::function<void()>> done;
--- a/fleet/planner_lease.h
+++ b/fleet/planner_lease.h
@@ -193,6 +193,8 @@
   absl::Time last_sent = absl::InfinitePast();
   // The commit under way with its callbacks, and the queue for later commits.
   bool in_flight = false;
+  // The last commit had no answer in time, or a late one.
+  bool store_is_slow = false;
   bool commit_scheduled = false;
   bool releasing = false;
   StoreCommit commit;
--- a/fleet/store_gate.cc
+++ b/fleet/store_gate.cc
@@ -134,6 +134,16 @@
       (entry->unresolved || late) && key.first - now <= this->options.fence_time
           ? StoreStep::kFence
           : StoreStep::kWrite;
+  const bool planner_first = conditions.store_is_slow &&
+                             conditions.planner_available &&
+                             !conditions.planner_is_own;
+  if (planner_first &&
+      this->MaySend(key, *entry, StoreRoute::kPlanner, step, now)) {
+    sends->push_back(this->Send(key, entry, StoreRoute::kPlanner, step, now));
+    return true;
+  }
+  if (planner_first)
+    return false;
   if (this->MaySend(key, *entry, StoreRoute::kDirect, step, now)) {
     sends->push_back(this->Send(key, entry, StoreRoute::kDirect, step, now));
     return true;
@@ -181,9 +191,9 @@
   }
   for (const uint64_t submission : removed)
     this->Remove(submission);
-  decisions.probe = !this->pending.empty() && !this->probing &&
-                    now >= this->next_probe &&
-                    (direct.silent || direct.unsettled > 0);
+  decisions.probe =
+      !this->pending.empty() && !this->probing && now >= this->next_probe &&
+      (direct.silent || direct.unsettled > 0 || conditions.store_is_slow);
   if (decisions.probe) {
     this->probing = true;
     this->next_probe = now + this->options.probe_interval;
--- a/fleet/store_gate.h
+++ b/fleet/store_gate.h
@@ -105,6 +105,9 @@
   bool planner_available = false;
   // The planner is in this process, and reaches the store no better.
   bool planner_is_own = false;
+  // Transactions take long, so that their number matters: all go to the
+  // planner, which combines those of all entries.
+  bool store_is_slow = false;
 };
 
 // The submissions in `refused` and `unknown` are removed from the gate.
--- a/fleet/submission_settler.cc
+++ b/fleet/submission_settler.cc
@@ -19,7 +19,15 @@
 
 // Timeout of a request to the planner. It includes a commit and the round trip
 // to another region.
-constexpr absl::Duration kRelayTimeout = absl::Milliseconds(700);
+constexpr absl::Duration kRelayTimeout = absl::Milliseconds(2700);
+
+// CommitBatcher combines the writes that wait, so that many of them make few
+// transactions.
+constexpr size_t kMaxWaitingWrites = 48;
+constexpr size_t kMaxUnsettledWrites = 24;
+
+// Timeout of a write or a fence; see CommitBatcher.
+constexpr absl::Duration kWriteTimeout = absl::Milliseconds(2500);
 
 // Timeout of a read that finds out whether the store answers; a slow one
 // answers in 240 ms.
@@ -33,11 +41,15 @@
                                      Metrics* metrics,
                                      SubmissionSettlerHandlers handlers)
     : store(store),
+      batcher(context, store),
       log(log),
       handlers(std::move(handlers)),
       timer(*context),
       repeats_total(metrics->GetCounter("submission_store_repeats_total")),
-      waiting(metrics->GetGauge("submissions_pending")) {}
+      waiting(metrics->GetGauge("submissions_pending")),
+      gate({.max_in_flight = kMaxWaitingWrites,
+            .max_in_flight_repeats = kMaxWaitingWrites,
+            .max_unsettled = kMaxUnsettledWrites}) {}
 
 void SubmissionSettler::Settle(const Submission& submission,
                                size_t bytes,
@@ -79,7 +91,8 @@
   if (std::exchange(this->acting, true))
     return;
   while (std::exchange(this->act_again, false)) {
-    const GateConditions conditions = this->handlers.conditions();
+    GateConditions conditions = this->handlers.conditions();
+    conditions.store_is_slow = this->batcher.IsSlow(BootClock().Now());
     this->reads_fail = conditions.reads_fail;
     const GateDecisions decisions =
         this->gate.Decide(conditions, BootClock().Now());
@@ -143,13 +156,13 @@
     return;
   }
   const absl::Duration timeout =
-      std::clamp(send.deadline - now, absl::Milliseconds(1), kStoreCallTimeout);
+      std::clamp(send.deadline - now, absl::Milliseconds(1), kWriteTimeout);
   if (send.step == StoreStep::kFence)
-    this->store->Commit(
+    this->batcher.Commit(
         SubmissionFence(entry.submission.id), timeout,
         [on_reply](CommitReply&& reply) { on_reply(FenceReply(reply)); });
   else
-    this->store->Commit(
+    this->batcher.Commit(
         SubmissionWrite(entry.submission, entry.fence_version), timeout,
         [on_reply](CommitReply&& reply) { on_reply(WriteReply(reply)); });
 }
@@ -192,12 +205,15 @@
 
 void SubmissionSettler::Probe() {
   // A read has no effect, so that it makes no submission unresolved.
-  this->store->ReadOne(
-      kFenceTable, this->pending.begin()->second.submission.id, kProbeTimeout,
-      [this, sent = BootClock().Now()](RowsReply&& reply) {
-        this->gate.OnProbe(!reply.error, sent, BootClock().Now());
-        this->Act();
-      });
+  this->store->ReadOne(kFenceTable, this->pending.begin()->second.submission.id,
+                       kProbeTimeout,
+                       [this, sent = BootClock().Now()](RowsReply&& reply) {
+                         const absl::Time now = BootClock().Now();
+                         if (!reply.error)
+                           this->batcher.RecordLatency(now - sent);
+                         this->gate.OnProbe(!reply.error, sent, now);
+                         this->Act();
+                       });
 }
 
 void SubmissionSettler::Finish(uint64_t number,
--- a/fleet/submission_settler.h
+++ b/fleet/submission_settler.h
@@ -21,6 +21,7 @@
 #include "absl/time/time.h"
 #include "base/log.h"
 #include "base/metrics.h"
+#include "fleet/commit_batcher.h"
 #include "fleet/fleet_message.h"
 #include "fleet/store_gate.h"
 #include "fleet/submission_commit.h"
@@ -106,6 +107,8 @@
   void LogHolding();
 
   Store* store;
+  // Sends the writes and fences.
+  CommitBatcher batcher;
   Log* log;
   SubmissionSettlerHandlers handlers;
   boost::asio::steady_timer timer;
