Test the lines of evacuations

An operator learns of a misspelt failure domain from one warning, and of each evacuation from one line, also when the rows are read again.

--- a/fleet/policy_follower.cc
+++ b/fleet/policy_follower.cc
@@ -172,7 +172,7 @@
   if (!std::exchange(this->store_unreachable, true))
     this->log->Write(
         LogLine("store_lost", LogLevel::kWarning).Add("error", reply.error));
-  // Changes may have been missed, so the whole configuration is read again.
+  // Changes may have been missed, so the whole table is read again.
   this->timer.expires_after(kRetryDelay);
   this->timer.async_wait([this](std::error_code cancelled) {
     if (!cancelled)
--- a/fleet/testing/fleet_log_test.cc
+++ b/fleet/testing/fleet_log_test.cc
@@ -380,5 +380,40 @@
   EXPECT_TRUE(this->WaitForState(entry_settings, kSubmissionId, "completed"));
 }
 
+// Guards against an operator who does not learn that a domain is misspelt, or
+// what an evacuation is about, and against lines that are repeated with each
+// read of the rows.
+TEST_F(FleetLogTest, EachEvacuationIsLoggedOnce) {
+  const Settings entry_settings = this->EntrySettings("entry-1");
+  auto entry = FleetEntry::Start(entry_settings, this->file.get());
+  ASSERT_TRUE(this->WaitUntilReady(entry_settings));
+  auto runner =
+      std::move(RunnerStandin::Start(&this->ledger, absl::Seconds(1)).value());
+  const Settings settings = this->AgentSettings("agent-1", *runner);
+  auto agent = FleetAgent::Start(settings, this->file.get());
+  ASSERT_EQ(this->SendHeartbeat(settings, *runner), 200);
+  ASSERT_TRUE(this->WaitForLine({{"event", "worker_reported"}}));
+  this->store->Put("op", "", "evacuate/domain", "{}");
+  this->store->Put("op", "", "evacuate/nowhere", "{}");
+  ASSERT_TRUE(this->WaitForLine(
+      {{"event", "evacuation_begun"}, {"domain", "domain"}, {"vms", 1}}));
+  ASSERT_TRUE(
+      this->WaitForLine({{"event", "evacuation_heard"}, {"evacuated", true}}));
+  // All rows are read again.
+  this->store->Compact();
+  this->store->Remove("op", "", "evacuate/domain");
+  ASSERT_TRUE(
+      this->WaitForLine({{"event", "evacuation_ended"}, {"domain", "domain"}}));
+  ASSERT_TRUE(
+      this->WaitForLine({{"event", "evacuation_heard"}, {"evacuated", false}}));
+  EXPECT_EQ(this->Lines({{"event", "evacuation_begun"}}).size(), 2u);
+  EXPECT_EQ(this->Lines({{"event", "evacuation_begun"},
+                         {"domain", "nowhere"},
+                         {"level", "warning"},
+                         {"vms", 0}})
+                .size(),
+            1u);
+}
+
 }  // namespace
 }  // namespace cuminjunction
