Order ready submissions by weight for their unstarted work

Cause: under overload the order by least remaining work gives up the largest submissions of a kind, and work that has been begun, whenever smaller ones arrive. Hopeless submissions had no bound on their wait.

Change: submission/overload.{h,cc} decides the order. Within a priority, submissions that can be in time come by the square root of their total work for each unit of work that still needs capacity, begun ones count twice, and late ones follow the largest first. Hopeless ones come by age. AgeingShare gives 2% of the capacity to submissions that have waited for twice their late limit.

--- a/submission/active.cc
+++ b/submission/active.cc
@@ -264,11 +264,17 @@
     longest_total_ms = std::max(longest_total_ms, total_ms[step_index]);
     longest_remaining_ms =
         std::max(longest_remaining_ms, remaining_ms[step_index]);
-    inputs.remaining_work += static_cast<double>(unfinished) *
-                             static_cast<double>(step.size.millicores) *
+    const double task_work = static_cast<double>(step.size.millicores) *
                              static_cast<double>(step.estimate_ms) / 1000.0;
+    const double remaining_work = static_cast<double>(unfinished) * task_work;
+    inputs.total_work += static_cast<double>(tasks.tasks.size()) * task_work;
+    inputs.remaining_work += remaining_work;
+    inputs.unstarted_work += static_cast<double>(tasks.Idle()) * task_work;
+    if (step.fills)
+      inputs.remaining_filling_work += remaining_work;
   }
   inputs.long_running = active.long_running;
+  inputs.admitted_by_age = slots.admitted_by_age;
   inputs.priority = active.queue.priority;
   inputs.objective_start = slots.due;
   inputs.objective_deadline =
--- a/submission/active.h
+++ b/submission/active.h
@@ -79,6 +79,8 @@
   absl::Time due;
   std::vector<StepSlots> steps;
   uint32_t steps_done = 0;
+  // See RankInputs::admitted_by_age.
+  bool admitted_by_age = false;
 };
 
 // Runs of a submission's tasks that other planners may have started before it
--- /dev/null
+++ b/submission/overload.cc
@@ -0,0 +1,94 @@
+#include "submission/overload.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+#include <utility>
+
+namespace cuminjunction {
+
+namespace {
+
+// Share of its objective that a submission must be able to wait when it begins.
+// Larger margins give up submissions that would be in time; see
+// docs/design/overload.md.
+constexpr double kBeginMargin = 0.05;
+
+// How much more a submission counts that has begun.
+constexpr double kBegunFactor = 2;
+
+enum class Group : uint8_t { kLongRunning, kAdmittedByAge, kOther, kHopeless };
+
+// Sort key of a submission; the lowest comes first.
+using Key = std::tuple<Group, int64_t, ObjectiveOutlook, double>;
+
+Key KeyOf(const RankInputs& ready, absl::Time now) {
+  ObjectiveOutlook outlook = ObjectiveOutlookOf(ready);
+  if (ready.long_running)
+    return {Group::kLongRunning, ready.priority, outlook, ready.remaining_work};
+  const double negative_age =
+      absl::ToDoubleSeconds(ready.objective_start - now);
+  if (ready.admitted_by_age)
+    return {Group::kAdmittedByAge, 0, outlook, negative_age};
+  if (outlook == ObjectiveOutlook::kHopeless)
+    return {Group::kHopeless, 0, outlook, negative_age};
+  const bool begun = ready.HasBegun();
+  if (!begun && ready.Slack() < kBeginMargin * ready.Objective())
+    outlook = ObjectiveOutlook::kLate;
+  if (outlook == ObjectiveOutlook::kLate)
+    return {Group::kOther, ready.priority, outlook, -ready.total_work};
+  const double weight =
+      std::sqrt(ready.total_work) * (begun ? kBegunFactor : 1);
+  return {Group::kOther, ready.priority, outlook,
+          ready.unstarted_work / std::max(1.0, weight)};
+}
+
+bool IsAged(const RankInputs& ready, absl::Time now) {
+  return !ready.long_running && !ready.admitted_by_age &&
+         now - ready.objective_start >=
+             AgeingShare::kAgeingFactor * kLateFactor * ready.Objective();
+}
+
+}  // namespace
+
+std::vector<uint32_t> WeightedWorkRule::Order(const PlanningInputs& inputs) {
+  std::vector<std::pair<Key, uint32_t>> keyed;
+  keyed.reserve(inputs.ready.size());
+  for (uint32_t index = 0; index < inputs.ready.size(); ++index)
+    keyed.emplace_back(KeyOf(inputs.ready[index], inputs.now), index);
+  std::sort(keyed.begin(), keyed.end());
+  std::vector<uint32_t> order;
+  order.reserve(keyed.size());
+  for (const auto& [key, index] : keyed)
+    order.push_back(index);
+  return order;
+}
+
+void AgeingShare::Admit(PlanningInputs* inputs) {
+  const double seconds =
+      std::clamp(absl::ToDoubleSeconds(inputs->now - this->updated), 0.0,
+                 kMaxCreditSeconds);
+  this->updated = inputs->now;
+  for (const PlanningInputs::Service& service : inputs->services) {
+    const double rate = this->share * service.capacity;
+    double& credit = this->credit[service.name];
+    credit = std::min(credit + rate * seconds, rate * kMaxCreditSeconds);
+  }
+  std::vector<RankInputs*> aged;
+  for (RankInputs& ready : inputs->ready) {
+    if (IsAged(ready, inputs->now))
+      aged.push_back(&ready);
+  }
+  std::stable_sort(aged.begin(), aged.end(), [](auto* a, auto* b) {
+    return a->objective_start < b->objective_start;
+  });
+  for (RankInputs* ready : aged) {
+    double& credit = this->credit[inputs->services[ready->service].name];
+    if (credit <= 0)
+      continue;
+    ready->admitted_by_age = true;
+    credit -= ready->unstarted_work;
+  }
+}
+
+}  // namespace cuminjunction
--- /dev/null
+++ b/submission/overload.h
@@ -0,0 +1,108 @@
+#ifndef SUBMISSION_OVERLOAD_H_
+#define SUBMISSION_OVERLOAD_H_
+
+// Decides what is delayed, displaced or refused when capacity is insufficient.
+//
+//   AgeingShare ageing;
+//   PlanningInputs inputs = ...;
+//   ageing.Admit(&inputs);
+//   for (uint32_t index : OrderOf<WeightedWorkRule>(inputs)) ...
+//
+// There are no sockets, threads or clocks here. Thresholds are derived from
+// what callers need: the objective of a submission, and kLateFactor times the
+// objective, after which its result has no use.
+
+#include <concepts>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "submission/rank.h"
+
+namespace cuminjunction {
+
+// What the order of ready submissions depends on.
+struct PlanningInputs {
+  // A service and its millicores for submissions that end.
+  struct Service {
+    std::string name;
+    double capacity = 0;
+    // In addition, the processors that only filling tasks may use.
+    double filling_capacity = 0;
+  };
+
+  absl::Time now;
+  std::vector<Service> services;
+  // One for each occurrence with a ready step.
+  std::vector<RankInputs> ready;
+};
+
+// A planning rule returns the indexes of PlanningInputs::ready, beginning with
+// the submission that gets capacity first.
+template <class R>
+concept PlanningRule = requires(const PlanningInputs& inputs) {
+  { R::Order(inputs) } -> std::same_as<std::vector<uint32_t>>;
+};
+
+using PlanningOrderFunction = std::vector<uint32_t> (*)(const PlanningInputs&);
+
+template <PlanningRule R>
+std::vector<uint32_t> OrderOf(const PlanningInputs& inputs) {
+  return R::Order(inputs);
+}
+
+// Load pattern: a flood of any priority beyond the capacity of the fleet.
+//
+// Long-running submissions come first, since every second without them is lost,
+// then those that AgeingShare has admitted. The others are ordered by priority,
+// and within a priority as follows:
+// - Those that can be in time come first, by their weight for each unit of work
+//   that they still need. The weight is the square root of the total work, the
+//   mean between counting each submission the same and counting each unit of
+//   work the same. Completing one that has begun counts twice, because the
+//   capacity that it has used is lost otherwise. One that has not begun needs
+//   some slack, because estimates are rough.
+// - Late ones follow, the largest first: these had the least chance before. So
+//   the largest tenth of a kind is served at least half as often as the kind.
+// Hopeless submissions come last, the oldest first and regardless of priority,
+// so that each gets its turn when the load falls below the capacity.
+struct WeightedWorkRule {
+  static std::vector<uint32_t> Order(const PlanningInputs& inputs);
+};
+
+// Load pattern: a lasting overload in which the order by priority and outlook
+// would never reach some submissions.
+//
+// A share of the capacity goes by age: submissions that have waited for
+// kAgeingFactor times their late limit are admitted in the order of their
+// acceptance, and come first until they are done. The work of each is charged
+// to the share. An aged submission is therefore admitted at the latest when the
+// share has done the work of those that were admitted before it:
+//   wait <= kAgeingFactor * kLateFactor * objective
+//           + work of older submissions / (share * capacity).
+class AgeingShare {
+ public:
+  // Without waiting submissions, the share is kept for this long.
+  static constexpr double kMaxCreditSeconds = 1;
+  static constexpr double kAgeingFactor = 2;
+  static constexpr double kDefaultShare = 0.02;
+
+  explicit AgeingShare(double share = kDefaultShare) : share(share) {}
+
+  // Sets RankInputs::admitted_by_age of the submissions that are admitted now.
+  void Admit(PlanningInputs* inputs);
+
+ private:
+  double share;
+  // Time of the last call; a new planner begins without credit.
+  absl::Time updated = absl::InfiniteFuture();
+  // Millicore-seconds that may be admitted now, by service; negative after a
+  // large submission was admitted.
+  std::map<std::string, double> credit;
+};
+
+}  // namespace cuminjunction
+
+#endif  // SUBMISSION_OVERLOAD_H_
--- a/submission/rank.h
+++ b/submission/rank.h
@@ -1,24 +1,12 @@
 #ifndef SUBMISSION_RANK_H_
 #define SUBMISSION_RANK_H_
 
-// The order in which submissions are given capacity.
+// What the order of ready submissions depends on; see overload.h.
 //
-//   std::sort(candidates.begin(), candidates.end(), [](auto& a, auto& b) {
-//     return RankOf(a.inputs) < RankOf(b.inputs);
-//   });
-//
-// Load pattern: a burst of large submissions beyond the capacity of the fleet,
-// where first come, first served makes every submission late. Submissions that
-// can still meet their objective come first, and among them those with the
-// least remaining work, since that completes the most submissions with the
-// available capacity. Late submissions follow while their completion still has
-// a value. Hopeless ones come last but are never dropped. Long-running
-// submissions come before all others, since every second without them is lost.
-// A submission that has begun keeps its place because its remaining work
-// shrinks.
+//   RankInputs inputs = RankInputsOf(active, occurrence, now);
+//   if (ObjectiveOutlookOf(inputs) == ObjectiveOutlook::kHopeless) ...
 
 #include <cstdint>
-#include <tuple>
 
 #include "absl/time/time.h"
 
@@ -31,8 +19,12 @@
 struct RankInputs {
   // Some steps of the submission run until it is cancelled.
   bool long_running = false;
+  // The submission was admitted to the share of the capacity that goes by age.
+  bool admitted_by_age = false;
   // Queue priority; 0 comes first.
   int64_t priority = 0;
+  // Index of the service; see PlanningInputs::services.
+  uint32_t service = 0;
   // Start of the objective: the acceptance, or the due time of a scheduled
   // occurrence.
   absl::Time objective_start;
@@ -41,8 +33,22 @@
   absl::Time objective_deadline;
   // Estimated completion of the longest chain of remaining tasks.
   absl::Time earliest_completion;
-  // Estimated remaining work, in millicore-seconds.
+  // Estimated work in millicore-seconds: of the whole occurrence, of the tasks
+  // that are not done, of those among them that have no run, and of the filling
+  // ones that are not done.
+  double total_work = 0;
   double remaining_work = 0;
+  double unstarted_work = 0;
+  double remaining_filling_work = 0;
+
+  absl::Duration Objective() const {
+    return this->objective_deadline - this->objective_start;
+  }
+  // Time for which the submission can wait and still meet its objective.
+  absl::Duration Slack() const {
+    return this->objective_deadline - this->earliest_completion;
+  }
+  bool HasBegun() const { return this->unstarted_work < this->total_work; }
 };
 
 // Whether a submission can be expected to meet its objective.
@@ -50,20 +56,6 @@
 
 ObjectiveOutlook ObjectiveOutlookOf(const RankInputs& inputs);
 
-// Sort key of a submission; the lowest comes first.
-struct Rank {
-  bool not_long_running = false;
-  bool hopeless = false;
-  int64_t priority = 0;
-  ObjectiveOutlook outlook = ObjectiveOutlook::kInTime;
-  double remaining_work = 0;
-
-  auto operator<=>(const Rank&) const =
-      default;  // NOLINT(modernize-use-nullptr)
-};
-
-Rank RankOf(const RankInputs& inputs);
-
 }  // namespace cuminjunction
 
 #endif  // SUBMISSION_RANK_H_
--- a/submission/scheduler.h
+++ b/submission/scheduler.h
@@ -33,6 +33,7 @@
 #include "submission/early_cancellations.h"
 #include "submission/evacuation.h"
 #include "submission/interference_model.h"
+#include "submission/overload.h"
 #include "submission/permits.h"
 #include "submission/place.h"
 #include "submission/placement_search.h"
@@ -155,6 +156,13 @@
   // them from the next plan on.
   void SetEvacuations(const EvacuatedDomains& domains, absl::Time now);
 
+  // Replaces the planning rule and the share of the capacity that goes by age,
+  // to compare several.
+  void SetPlanningRule(PlanningOrderFunction order, AgeingShare ageing) {
+    this->planning_order = order;
+    this->ageing = std::move(ageing);
+  }
+
   // Adds a submission unless it is already present. Returns false, and adds
   // nothing, if it is not well-formed. `now` is of the boot clock, as in all
   // methods, and `wall` of the system clock, at the same moment.
@@ -318,6 +326,9 @@
     return this->submissions.contains(id);
   }
 
+  // True if the submission is present and its state is not final.
+  bool IsLive(const std::string& id) const { return this->live.contains(id); }
+
   // True if the submissions of all these runs are present. An agent may report
   // a run of a submission that was stored after this planner read the table,
   // and that the previous planner started. Read its row before MergeReport() or
@@ -374,6 +385,7 @@
   void CountWorkerFailure(Worker* worker, const TaskSlot& slot, absl::Time now);
   void StopUnwanted(Orders* orders);
   void AddOccurrences(absl::Time now);
+  // Returns the steps with tasks to start, in the order of the planning rule.
   std::vector<StepCandidate> CollectCandidates(absl::Time now);
   // Starts tasks of the step until nothing fits or the plan is full.
   void StartStep(StepCandidate* candidate,
@@ -435,6 +447,8 @@
                                absl::Time now) const;
 
   FleetPolicy policy;
+  PlanningOrderFunction planning_order = &OrderOf<WeightedWorkRule>;
+  AgeingShare ageing;
   EvacuatedDomains evacuated_domains;
   InterferenceModel interference_model;
   Permits permits;
--- a/submission/scheduler_plan.cc
+++ b/submission/scheduler_plan.cc
@@ -4,6 +4,7 @@
 
 #include "submission/place.h"
 #include "submission/scheduler.h"
+#include "submission/step_candidate.h"
 
 namespace cuminjunction {
 
@@ -28,28 +29,6 @@
 
 }  // namespace
 
-// A step of one occurrence that has tasks to start.
-struct Scheduler::StepCandidate {
-  ActiveSubmission* active = nullptr;
-  uint32_t occurrence = 0;
-  uint32_t step = 0;
-  Rank rank;
-  // Placed tasks of the step by VM, and the rack of one of them if the step
-  // wants a single rack; see CountPlaced().
-  std::map<std::string, uint32_t> same_step;
-  std::string rack;
-
-  StepSlots& Slots() const {
-    return this->active->occurrences[this->occurrence].steps[this->step];
-  }
-  const Step& Spec() const {
-    return this->active->submission.steps[this->step];
-  }
-  TaskRef Task(uint32_t index) const {
-    return {this->active->submission.id, this->occurrence, this->step, index};
-  }
-};
-
 Orders Scheduler::Plan(absl::Time now) {
   Orders orders;
   this->AddOccurrences(now);
@@ -64,10 +43,6 @@
   order.Reset(by_name);
   UnplaceableShapes unplaceable;
   std::vector<StepCandidate> candidates = this->CollectCandidates(now);
-  std::stable_sort(candidates.begin(), candidates.end(),
-                   [](const StepCandidate& a, const StepCandidate& b) {
-                     return a.rank < b.rank;
-                   });
   for (StepCandidate& candidate : candidates) {
     if (orders.starts.size() >= kMaxStartsInPlan) {
       orders.more = true;
@@ -107,32 +82,6 @@
   this->unwanted.clear();
 }
 
-std::vector<Scheduler::StepCandidate> Scheduler::CollectCandidates(
-    absl::Time now) {
-  std::vector<StepCandidate> candidates;
-  for (const auto& [id, active] : this->live) {
-    for (uint32_t occurrence_index = 0;
-         occurrence_index < active->occurrences.size(); ++occurrence_index) {
-      const OccurrenceSlots& occurrence = active->occurrences[occurrence_index];
-      if (occurrence.steps_done == occurrence.steps.size())
-        continue;
-      std::optional<Rank> rank;
-      for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-        if (occurrence.steps[step].Idle() == 0 ||
-            !IsReady(*active, occurrence, step))
-          continue;
-        absl::Time& since =
-            active->occurrences[occurrence_index].steps[step].ready_since;
-        since = std::min(since, now);
-        if (!rank)
-          rank = RankOf(RankInputsOf(*active, occurrence, now));
-        candidates.push_back({active, occurrence_index, step, *rank, {}, {}});
-      }
-    }
-  }
-  return candidates;
-}
-
 void Scheduler::RefreshOutlooks(Worker* worker, absl::Time now) {
   if (std::exchange(worker->outlooks_plan, this->plan_number) !=
       this->plan_number)
@@ -479,7 +428,7 @@
   const TaskSlot* slot = active == nullptr ? nullptr : FindSlot(active, task);
   if (slot == nullptr)
     return counts;
-  StepCandidate candidate{active, task.occurrence, task.step, {}, {}, {}};
+  StepCandidate candidate{active, task.occurrence, task.step, {}, {}};
   this->CountPlaced(&candidate);
   PlacementContext context;
   context.service = active->queue.service;
--- a/submission/worker.cc
+++ b/submission/worker.cc
@@ -25,6 +25,8 @@
   Vacate(worker, task);
   worker->placed[task] = placed;
   worker->used = worker->used + CountedSize(placed.size, placed.fills);
+  if (placed.long_running)
+    worker->long_running_millicores += placed.size.millicores;
   if (placed.fills) {
     worker->filling_millicores += placed.size.millicores;
     AddLoad(placed, &worker->filling);
@@ -41,6 +43,8 @@
     return;
   const PlacedTask& placed = found->second;
   worker->used = worker->used - CountedSize(placed.size, placed.fills);
+  if (placed.long_running)
+    worker->long_running_millicores -= placed.size.millicores;
   if (placed.fills) {
     worker->filling_millicores -= placed.size.millicores;
     RemoveLoad(placed, &worker->filling);
--- a/submission/worker.h
+++ b/submission/worker.h
@@ -78,6 +78,7 @@
   Size used;
   int64_t filling_millicores = 0;
   int64_t serving_millicores = 0;
+  int64_t long_running_millicores = 0;
   // Load of the serving and the filling tasks by image.
   std::map<std::string, ImageLoad> serving;
   std::map<std::string, ImageLoad> filling;
