--- a/submission/overload.cc
+++ b/submission/overload.cc
@@ -33,7 +33,8 @@
   if (outlook == ObjectiveOutlook::kHopeless)
     return {Group::kHopeless, 0, outlook, negative_age};
   const bool begun = ready.HasBegun();
-  if (!begun && ready.Slack() < kBeginMargin * ready.Objective())
+  if (!begun && absl::ToDoubleSeconds(ready.Slack()) <
+                    kBeginMargin * absl::ToDoubleSeconds(ready.Objective()))
     outlook = ObjectiveOutlook::kLate;
   if (outlook == ObjectiveOutlook::kLate)
     return {Group::kOther, ready.priority, outlook, -ready.total_work};
@@ -45,8 +46,9 @@
 
 bool IsAged(const RankInputs& ready, absl::Time now) {
   return !ready.long_running && !ready.admitted_by_age &&
-         now - ready.objective_start >=
-             AgeingShare::kAgeingFactor * kLateFactor * ready.Objective();
+         absl::ToDoubleSeconds(now - ready.objective_start) >=
+             AgeingShare::kAgeingFactor * kLateFactor *
+                 absl::ToDoubleSeconds(ready.Objective());
 }
 
 }  // namespace
--- a/submission/scheduler.h
+++ b/submission/scheduler.h
@@ -385,8 +385,10 @@
   void CountWorkerFailure(Worker* worker, const TaskSlot& slot, absl::Time now);
   void StopUnwanted(Orders* orders);
   void AddOccurrences(absl::Time now);
-  // Returns the steps with tasks to start, in the order of the planning rule.
-  std::vector<StepCandidate> CollectCandidates(absl::Time now);
+  // Returns the steps with tasks to start, and sets `order` to their indexes in
+  // the order of the planning rule.
+  std::vector<StepCandidate> CollectCandidates(absl::Time now,
+                                               std::vector<uint32_t>* order);
   // Starts tasks of the step until nothing fits or the plan is full.
   void StartStep(StepCandidate* candidate,
                  WorkerOrder* order,
--- a/submission/scheduler_order.cc
+++ b/submission/scheduler_order.cc
@@ -45,7 +45,8 @@
 }  // namespace
 
 std::vector<Scheduler::StepCandidate> Scheduler::CollectCandidates(
-    absl::Time now) {
+    absl::Time now,
+    std::vector<uint32_t>* order) {
   PlanningInputs inputs;
   inputs.now = now;
   std::vector<StepCandidate> candidates;
@@ -78,16 +79,14 @@
   for (const auto& [vm, worker] : this->workers)
     AddCapacity(*worker, &inputs.services);
   this->ageing.Admit(&inputs);
-  std::vector<StepCandidate> ordered;
-  ordered.reserve(candidates.size());
   for (const uint32_t index : this->planning_order(inputs)) {
-    StepCandidate& first = candidates[bounds[index]];
+    const StepCandidate& first = candidates[bounds[index]];
     first.active->occurrences[first.occurrence].admitted_by_age =
         inputs.ready[index].admitted_by_age;
     for (uint32_t i = bounds[index]; i < bounds[index + 1]; ++i)
-      ordered.push_back(std::move(candidates[i]));
+      order->push_back(i);
   }
-  return ordered;
+  return candidates;
 }
 
 }  // namespace cuminjunction
--- a/submission/scheduler_plan.cc
+++ b/submission/scheduler_plan.cc
@@ -42,8 +42,11 @@
   WorkerOrder order;
   order.Reset(by_name);
   UnplaceableShapes unplaceable;
-  std::vector<StepCandidate> candidates = this->CollectCandidates(now);
-  for (StepCandidate& candidate : candidates) {
+  std::vector<uint32_t> step_order;
+  std::vector<StepCandidate> candidates =
+      this->CollectCandidates(now, &step_order);
+  for (const uint32_t index : step_order) {
+    StepCandidate& candidate = candidates[index];
     if (orders.starts.size() >= kMaxStartsInPlan) {
       orders.more = true;
       return orders;
