Let Retry-After grow with an outage, and limit the width of aged work

Cause: all refused callers returned after 2 s at the same time, and a single aged submission could take all of a small fleet.

Change: RetryAfterOutage() grows with the time that the store has been unavailable, is spread at random, and ends where a retry has no use. fleet_entry_admission.cc has the refusals of FleetEntry. Tasks admitted by age come first only up to 5% of the capacity; the rest follow all others.

--- a/fleet/fleet_entry.cc
+++ b/fleet/fleet_entry.cc
@@ -19,10 +19,6 @@
 
 constexpr std::chrono::milliseconds kTickInterval(100);
 
-// Retry-After of refused requests, in seconds. An outage of the store lasts 4
-// to 9 s, and callers retry four times.
-constexpr char kRetryAfterS[] = "2";
-
 // How long after its acceptance or its cancellation a submission is sent to a
 // new planner. Older ones are found by the planner's reads of the tables.
 constexpr absl::Duration kNoticeRepeatTime = absl::Seconds(5);
@@ -164,6 +160,7 @@
          now - this->recently_cancelled.front().first > kNoticeRepeatTime)
     this->recently_cancelled.pop_front();
   this->RemoveExpired(now);
+  this->FollowStoreOutage(now);
   this->tick_timer.expires_after(kTickInterval);
   this->tick_timer.async_wait([this](std::error_code error) {
     if (!error)
@@ -220,30 +217,6 @@
       {status, {{"Content-Type", "application/json"}}, std::move(body)});
 }
 
-void FleetEntry::Refuse(HttpExchange* exchange,
-                        unsigned status,
-                        const std::string& id,
-                        std::string_view reason) {
-  this->RecordAnswer(*exchange, status);
-  this->metrics
-      .GetCounter("submissions_refused_total",
-                  StrCat("reason=\"", reason, "\""))
-      .Add();
-  this->log->Write(LogLine("request_refused")
-                       .Add("submission", id)
-                       .Add("method", exchange->method)
-                       .Add("status", static_cast<uint64_t>(status))
-                       .Add("configuration", this->follower->Policy().version)
-                       .Add("reason", reason));
-  HttpReply reply;
-  reply.status = status;
-  reply.headers = {{"Content-Type", "application/json"}};
-  if (status == 503 || status == 429)
-    reply.headers.emplace_back("Retry-After", kRetryAfterS);
-  reply.body = StrCat("{\"error\":\"", reason, "\"}");
-  this->front->Answer(exchange, std::move(reply));
-}
-
 void FleetEntry::OnRequest(HttpExchange* exchange) {
   const FleetPolicy& policy = this->follower->Policy();
   const std::string path = exchange->path.substr(0, exchange->path.find('?'));
--- a/fleet/fleet_entry.h
+++ b/fleet/fleet_entry.h
@@ -26,6 +26,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
+#include "absl/random/random.h"
 #include "absl/time/time.h"
 #include "base/event_thread.h"
 #include "base/http_front.h"
@@ -119,10 +120,22 @@
   void RemoveExpired(absl::Time now);
   void Reply(HttpExchange* exchange, unsigned status, std::string body);
   void RecordAnswer(const HttpExchange& exchange, unsigned status);
+  // `useful_within` limits the Retry-After of an answer 503 or 429.
   void Refuse(HttpExchange* exchange,
               unsigned status,
               const std::string& id,
-              std::string_view reason);
+              std::string_view reason,
+              absl::Duration useful_within = absl::InfiniteDuration());
+  // Sends the refusal; `retry_after_s` is 0 for none.
+  void SendRefusal(HttpExchange* exchange,
+                   unsigned status,
+                   const std::string& id,
+                   std::string_view reason,
+                   int64_t retry_after_s);
+  // Time within which a retry of a refused submission has any use.
+  absl::Duration UsefulRetry(const Submission& submission) const;
+  // Notes whether the store is available.
+  void FollowStoreOutage(absl::Time now);
   bool IsReady() const;
 
   Settings settings;
@@ -164,6 +177,11 @@
   // Waiting submissions of each queue, and when the planner sent the counts.
   std::map<std::string, uint64_t> waiting_counts;
   absl::Time waiting_counts_at = absl::InfinitePast();
+  // Since when the store has been unavailable; InfiniteFuture() while it is
+  // not.
+  absl::Time store_unavailable_since = absl::InfiniteFuture();
+  // Spreads the callers that are told to return.
+  absl::BitGen random;
 };
 
 }  // namespace cuminjunction
--- /dev/null
+++ b/fleet/fleet_entry_admission.cc
@@ -0,0 +1,72 @@
+// FleetEntry: refusals, and when their callers should return.
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/random/random.h"
+#include "base/strings.h"
+#include "base/time.h"
+#include "fleet/fleet_entry.h"
+#include "submission/overload.h"
+
+namespace cuminjunction {
+
+void FleetEntry::FollowStoreOutage(absl::Time now) {
+  this->store_unavailable_since =
+      this->follower->IsStoreUnreachable()
+          ? std::min(this->store_unavailable_since, now)
+          : absl::InfiniteFuture();
+}
+
+absl::Duration FleetEntry::UsefulRetry(const Submission& submission) const {
+  const Queue* queue = this->follower->Policy().FindByName(submission.queue);
+  // The objective of a scheduled occurrence begins when it becomes due.
+  if (queue == nullptr || submission.scheduled)
+    return absl::InfiniteDuration();
+  return LatestUsefulStart(submission, *queue);
+}
+
+void FleetEntry::Refuse(HttpExchange* exchange,
+                        unsigned status,
+                        const std::string& id,
+                        std::string_view reason,
+                        absl::Duration useful_within) {
+  int64_t retry_after_s = 0;
+  // Also reasons other than an outage of the store are temporary, and their
+  // callers must not return together.
+  if (status == 503 || status == 429)
+    retry_after_s =
+        RetryAfterOutage(BootClock().Now() - this->store_unavailable_since,
+                         useful_within, absl::Uniform(this->random, 0.0, 1.0));
+  this->SendRefusal(exchange, status, id, reason, retry_after_s);
+}
+
+void FleetEntry::SendRefusal(HttpExchange* exchange,
+                             unsigned status,
+                             const std::string& id,
+                             std::string_view reason,
+                             int64_t retry_after_s) {
+  this->RecordAnswer(*exchange, status);
+  this->metrics
+      .GetCounter("submissions_refused_total",
+                  StrCat("reason=\"", reason, "\""))
+      .Add();
+  LogLine line("request_refused");
+  line.Add("submission", id)
+      .Add("method", exchange->method)
+      .Add("status", static_cast<uint64_t>(status))
+      .Add("configuration", this->follower->Policy().version)
+      .Add("reason", reason);
+  if (retry_after_s > 0)
+    line.Add("retry_after_s", retry_after_s);
+  this->log->Write(line);
+  HttpReply reply;
+  reply.status = status;
+  reply.headers = {{"Content-Type", "application/json"}};
+  if (retry_after_s > 0)
+    reply.headers.emplace_back("Retry-After", StrCat(retry_after_s));
+  reply.body = StrCat("{\"error\":\"", reason, "\"}");
+  this->front->Answer(exchange, std::move(reply));
+}
+
+}  // namespace cuminjunction
--- a/fleet/fleet_entry_submit.cc
+++ b/fleet/fleet_entry_submit.cc
@@ -143,7 +143,8 @@
   if (pending->unresolved)
     this->Refuse(pending->exchange, 504, id, "outcome-unknown");
   else
-    this->Refuse(pending->exchange, 503, id, "store-unavailable");
+    this->Refuse(pending->exchange, 503, id, "store-unavailable",
+                 this->UsefulRetry(pending->submission));
 }
 
 bool FleetEntry::RelayToPlanner(const Submission& submission,
--- a/submission/overload.cc
+++ b/submission/overload.cc
@@ -51,6 +51,32 @@
                  absl::ToDoubleSeconds(ready.Objective());
 }
 
+// Estimated time of the longest chain of steps.
+double LongestChainMs(const Submission& submission) {
+  std::vector<double> chain_ms;
+  double longest_ms = 0;
+  for (const Step& step : submission.steps) {
+    double before_ms = 0;
+    for (const uint32_t earlier : step.after)
+      before_ms = std::max(before_ms, chain_ms[earlier]);
+    chain_ms.push_back(before_ms + static_cast<double>(step.estimate_ms));
+    longest_ms = std::max(longest_ms, chain_ms.back());
+  }
+  return longest_ms;
+}
+
+// Objective of a submission with this longest chain. Figures of the queue that
+// are out of range are clamped.
+double ObjectiveMs(const Queue& queue, double chain_ms) {
+  constexpr auto kMax = static_cast<double>(kMaxAmount);
+  // Written so that a stretch that is not a number becomes the largest one.
+  const double stretch =
+      queue.stretch < kMax ? std::max(0.0, queue.stretch) : kMax;
+  return std::min(
+      kMax, stretch * chain_ms +
+                std::clamp(static_cast<double>(queue.objective_ms), 0.0, kMax));
+}
+
 }  // namespace
 
 std::vector<uint32_t> WeightedWorkRule::Order(const PlanningInputs& inputs) {
@@ -93,4 +119,35 @@
   }
 }
 
+uint32_t AgeingShare::MaxStarts(double capacity,
+                                int64_t running,
+                                int64_t task_millicores) {
+  const double tasks =
+      (kMaxWidth * capacity - static_cast<double>(running)) /
+      static_cast<double>(std::max<int64_t>(1, task_millicores));
+  return static_cast<uint32_t>(
+      std::clamp(tasks, running == 0 ? 1.0 : 0.0, 1e6));
+}
+
+absl::Duration LatestUsefulStart(const Submission& submission,
+                                 const Queue& queue) {
+  const double chain_ms = LongestChainMs(submission);
+  return absl::Milliseconds(
+      std::max(0.0, kLateFactor * ObjectiveMs(queue, chain_ms) - chain_ms));
+}
+
+int64_t RetryAfterOutage(absl::Duration unavailable_for,
+                         absl::Duration useful_within,
+                         double jitter) {
+  const double outage_s = std::max(0.0, absl::ToDoubleSeconds(unavailable_for));
+  // From 1 to 2 s at the begin of an outage, from 2 to 4 s after 4 s. Callers
+  // retry four times, which thus covers the usual outage of 4 to 9 s.
+  const double shortest = 1 + outage_s / 4;
+  const double spread = 2 + outage_s / 4;
+  const double limit = std::min(static_cast<double>(kMaxOutageRetryAfter),
+                                absl::ToDoubleSeconds(useful_within));
+  return static_cast<int64_t>(
+      std::max(1.0, std::min(shortest + jitter * spread, limit)));
+}
+
 }  // namespace cuminjunction
--- a/submission/overload.h
+++ b/submission/overload.h
@@ -19,7 +19,9 @@
 #include <vector>
 
 #include "absl/time/time.h"
+#include "submission/policy.h"
 #include "submission/rank.h"
+#include "submission/types.h"
 
 namespace cuminjunction {
 
@@ -78,10 +80,12 @@
 // A share of the capacity goes by age: submissions that have waited for
 // kAgeingFactor times their late limit are admitted in the order of their
 // acceptance, and come first until they are done. The work of each is charged
-// to the share. An aged submission is therefore admitted at the latest when the
-// share has done the work of those that were admitted before it:
-//   wait <= kAgeingFactor * kLateFactor * objective
-//           + work of older submissions / (share * capacity).
+// to the share, and only a part of the capacity runs their tasks before those
+// of others at the same time, so that a very large one delays nobody for long.
+// A submission is admitted at the latest after
+//   kAgeingFactor * kLateFactor * objective
+//   + (work of the older ones and of the last one admitted)
+//     / (share * capacity).
 class AgeingShare {
  public:
   // Without waiting submissions, the share is kept for this long.
@@ -89,11 +93,20 @@
   static constexpr double kAgeingFactor = 2;
   static constexpr double kDefaultShare = 0.02;
 
+  // Part of the capacity that admitted submissions occupy before others.
+  static constexpr double kMaxWidth = 0.05;
+
   explicit AgeingShare(double share = kDefaultShare) : share(share) {}
 
   // Sets RankInputs::admitted_by_age of the submissions that are admitted now.
   void Admit(PlanningInputs* inputs);
 
+  // How many tasks of this size to start before those of others, while admitted
+  // ones occupy `running` millicores of a service; one if none are running.
+  static uint32_t MaxStarts(double capacity,
+                            int64_t running,
+                            int64_t task_millicores);
+
  private:
   double share;
   // Time of the last call; a new planner begins without credit.
@@ -103,6 +116,24 @@
   std::map<std::string, double> credit;
 };
 
+// Time from the start of its objective until a submission must have been
+// accepted at the latest for its result to have any use.
+absl::Duration LatestUsefulStart(const Submission& submission,
+                                 const Queue& queue);
+
+// Load pattern: callers that are refused while the store is unavailable, and
+// that all return at the same time once it is back.
+//
+// Returns the Retry-After in whole seconds, at least 1. It grows with the time
+// that the store has been unavailable, since an outage that has lasted long is
+// likely to last longer, and is spread by `jitter`, from 0 to less than 1. It
+// is at most `useful_within`, the time after which a retry has no use, unless
+// that is less than a second, and at most kMaxOutageRetryAfter.
+inline constexpr int64_t kMaxOutageRetryAfter = 8;
+int64_t RetryAfterOutage(absl::Duration unavailable_for,
+                         absl::Duration useful_within,
+                         double jitter);
+
 }  // namespace cuminjunction
 
 #endif  // SUBMISSION_OVERLOAD_H_
--- a/submission/scheduler_order.cc
+++ b/submission/scheduler_order.cc
@@ -42,6 +42,15 @@
                                static_cast<double>(worker.serving_millicores);
 }
 
+int64_t RunningMillicores(const ActiveSubmission& active,
+                          const OccurrenceSlots& occurrence) {
+  int64_t millicores = 0;
+  for (size_t step = 0; step < occurrence.steps.size(); ++step)
+    millicores += static_cast<int64_t>(occurrence.steps[step].placed) *
+                  active.submission.steps[step].size.millicores;
+  return millicores;
+}
+
 }  // namespace
 
 std::vector<Scheduler::StepCandidate> Scheduler::CollectCandidates(
@@ -50,6 +59,8 @@
   PlanningInputs inputs;
   inputs.now = now;
   std::vector<StepCandidate> candidates;
+  // By service: millicores of the running tasks that were admitted by age.
+  std::map<std::string, int64_t> running_by_age;
   // By index in `inputs.ready`: the first candidate, and the end of the last.
   std::vector<uint32_t> bounds;
   for (const auto& [id, active] : this->live) {
@@ -58,6 +69,9 @@
       OccurrenceSlots& occurrence = active->occurrences[occurrence_index];
       if (occurrence.steps_done == occurrence.steps.size())
         continue;
+      if (occurrence.admitted_by_age)
+        running_by_age[active->queue.service] +=
+            RunningMillicores(*active, occurrence);
       const size_t first = candidates.size();
       for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
         if (occurrence.steps[step].Idle() == 0 ||
@@ -65,7 +79,10 @@
           continue;
         absl::Time& since = occurrence.steps[step].ready_since;
         since = std::min(since, now);
-        candidates.push_back({active, occurrence_index, step, {}, {}});
+        StepCandidate& candidate = candidates.emplace_back();
+        candidate.active = active;
+        candidate.occurrence = occurrence_index;
+        candidate.step = step;
       }
       if (candidates.size() == first)
         continue;
@@ -79,13 +96,28 @@
   for (const auto& [vm, worker] : this->workers)
     AddCapacity(*worker, &inputs.services);
   this->ageing.Admit(&inputs);
+  // Steps that get the remaining capacity after all others.
+  std::vector<uint32_t> aged;
   for (const uint32_t index : this->planning_order(inputs)) {
-    const StepCandidate& first = candidates[bounds[index]];
-    first.active->occurrences[first.occurrence].admitted_by_age =
-        inputs.ready[index].admitted_by_age;
-    for (uint32_t i = bounds[index]; i < bounds[index + 1]; ++i)
+    const bool admitted = inputs.ready[index].admitted_by_age;
+    const PlanningInputs::Service& service =
+        inputs.services[inputs.ready[index].service];
+    for (uint32_t i = bounds[index]; i < bounds[index + 1]; ++i) {
       order->push_back(i);
+      if (!admitted)
+        continue;
+      StepCandidate& candidate = candidates[i];
+      candidate.active->occurrences[candidate.occurrence].admitted_by_age =
+          true;
+      int64_t& running = running_by_age[service.name];
+      candidate.max_starts = AgeingShare::MaxStarts(
+          service.capacity, running, candidate.Spec().size.millicores);
+      running += candidate.max_starts * candidate.Spec().size.millicores;
+      if (candidate.max_starts < candidate.Slots().Idle())
+        aged.push_back(i);
+    }
   }
+  order->insert(order->end(), aged.begin(), aged.end());
   return candidates;
 }
 
--- a/submission/scheduler_plan.cc
+++ b/submission/scheduler_plan.cc
@@ -57,6 +57,8 @@
     } else {
       this->StartStep(&candidate, &order, &unplaceable, &orders, now);
     }
+    // An aged step is in the order twice, at the end without a limit.
+    candidate.max_starts = std::numeric_limits<uint32_t>::max();
     if (candidate.active->queue.advice.required && candidate.Slots().Idle() > 0)
       this->QueryPermits(candidate, &orders, now);
   }
@@ -213,10 +215,13 @@
   std::optional<PlacementSearch> search;
   std::vector<Worker*> changed;
   bool has_preempted = false;
+  const uint32_t placed_before = slots.placed;
   for (uint32_t index = 0; index < slots.tasks.size(); ++index) {
     TaskSlot& slot = slots.tasks[index];
     if (!this->MayStart(slot, now))
       continue;
+    if (slots.placed - placed_before >= candidate->max_starts)
+      break;
     if (orders->starts.size() >= kMaxStartsInPlan) {
       orders->more = true;
       break;
@@ -431,7 +436,10 @@
   const TaskSlot* slot = active == nullptr ? nullptr : FindSlot(active, task);
   if (slot == nullptr)
     return counts;
-  StepCandidate candidate{active, task.occurrence, task.step, {}, {}};
+  StepCandidate candidate;
+  candidate.active = active;
+  candidate.occurrence = task.occurrence;
+  candidate.step = task.step;
   this->CountPlaced(&candidate);
   PlacementContext context;
   context.service = active->queue.service;
--- a/submission/step_candidate.h
+++ b/submission/step_candidate.h
@@ -5,6 +5,7 @@
 // Scheduler.
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <string>
 
@@ -17,6 +18,8 @@
   ActiveSubmission* active = nullptr;
   uint32_t occurrence = 0;
   uint32_t step = 0;
+  // Limit of the tasks that the next call of StartStep() starts.
+  uint32_t max_starts = std::numeric_limits<uint32_t>::max();
   // Placed tasks of the step by VM, and the rack of one of them if the step
   // wants a single rack; see CountPlaced().
   std::map<std::string, uint32_t> same_step;
