Refuse submissions that certainly can't be of use under overload

Cause: in an overload, a submission that can't end within three times its objective was accepted and stored, and its caller learned nothing.

Change: once a second the planner sends CapacityNotice with the capacity of each service and the unstarted work by priority and by the time for which it stays ahead of less urgent work. FindCertainBacklog() decides by bounds that hold if estimates are off by a factor of two; the entry answers 503 with Retry-After set to the time until the backlog has cleared and jitter. Damaged figures, older epochs and notices older than 2 s refuse nothing.

The tests fail when the comparison of task sizes, the factor on the work, or the time for which work stays ahead is removed; that the longest blocking task is subtracted is not covered by a test. fleet_test was not run.

--- a/fleet/fleet_entry.cc
+++ b/fleet/fleet_entry.cc
@@ -106,6 +106,7 @@
           .on_ping =
               [this](const PlannerPing& ping) {
                 this->view.commits_failing = ping.commits_failing;
+                this->last_echo = FromMicros(ping.echoed_timestamp_us);
               },
           .on_message =
               [this](FleetMessage&& message) {
@@ -359,6 +360,8 @@
   } else if (auto* counts = std::get_if<WaitingNotice>(&message)) {
     this->waiting_counts = std::move(counts->waiting);
     this->waiting_counts_at = BootClock().Now();
+  } else if (auto* capacity = std::get_if<CapacityNotice>(&message)) {
+    this->OnCapacityNotice(std::move(*capacity));
   }
 }
 
--- a/fleet/fleet_entry.h
+++ b/fleet/fleet_entry.h
@@ -134,6 +134,12 @@
                    int64_t retry_after_s);
   // Time within which a retry of a refused submission has any use.
   absl::Duration UsefulRetry(const Submission& submission) const;
+  // Refuses a submission that certainly can't be of use; see
+  // FindCertainBacklog(). Returns false, and does nothing, in case of doubt.
+  bool RefuseIfOverloaded(HttpExchange* exchange,
+                          const Queue& queue,
+                          const Submission& submission);
+  void OnCapacityNotice(CapacityNotice&& notice);
   // Notes whether the store is available.
   void FollowStoreOutage(absl::Time now);
   bool IsReady() const;
@@ -177,6 +183,15 @@
   // Waiting submissions of each queue, and when the planner sent the counts.
   std::map<std::string, uint64_t> waiting_counts;
   absl::Time waiting_counts_at = absl::InfinitePast();
+  // Last echo of this entry's clock in a ping: later messages of the planner
+  // were sent after this time.
+  absl::Time last_echo = absl::InfinitePast();
+  // The last usable CapacityNotice by service, when it arrived, and a time
+  // before which it was not sent.
+  std::map<std::string, ServiceLoad> loads;
+  absl::Time loads_received_at = absl::InfinitePast();
+  absl::Time loads_sent_after = absl::InfinitePast();
+  uint64_t loads_epoch = 0;
   // Since when the store has been unavailable; InfiniteFuture() while it is
   // not.
   absl::Time store_unavailable_since = absl::InfiniteFuture();
--- a/fleet/fleet_entry_admission.cc
+++ b/fleet/fleet_entry_admission.cc
@@ -11,6 +11,49 @@
 
 namespace cuminjunction {
 
+namespace {
+
+// A notice without a successor for this long is not used: two are then missing.
+constexpr absl::Duration kMaxLoadAge = absl::Seconds(2);
+
+}  // namespace
+
+void FleetEntry::OnCapacityNotice(CapacityNotice&& notice) {
+  if (notice.epoch < this->loads_epoch)
+    return;
+  this->loads_epoch = notice.epoch;
+  this->loads.clear();
+  for (ServiceLoad& load : notice.services) {
+    if (!IsPlausible(load)) {
+      this->log->Write(LogLine("capacity_notice_damaged", LogLevel::kWarning)
+                           .Add("epoch", notice.epoch)
+                           .Add("service", load.service));
+      this->loads.clear();
+      return;
+    }
+    this->loads[load.service] = std::move(load);
+  }
+  this->loads_received_at = BootClock().Now();
+  this->loads_sent_after = this->last_echo;
+}
+
+bool FleetEntry::RefuseIfOverloaded(HttpExchange* exchange,
+                                    const Queue& queue,
+                                    const Submission& submission) {
+  const absl::Time now = BootClock().Now();
+  const auto load = this->loads.find(queue.service);
+  if (load == this->loads.end() || now - this->loads_received_at > kMaxLoadAge)
+    return false;
+  const auto backlog = FindCertainBacklog(submission, queue, &load->second,
+                                          now - this->loads_sent_after);
+  if (!backlog)
+    return false;
+  this->SendRefusal(
+      exchange, 503, submission.id, "overloaded",
+      RetryAfterOverload(*backlog, absl::Uniform(this->random, 0.0, 1.0)));
+  return true;
+}
+
 void FleetEntry::FollowStoreOutage(absl::Time now) {
   this->store_unavailable_since =
       this->follower->IsStoreUnreachable()
--- a/fleet/fleet_entry_submit.cc
+++ b/fleet/fleet_entry_submit.cc
@@ -55,6 +55,10 @@
   pending->submission.id = id;
   pending->submission.queue = queue.name;
   pending->unresolved = this->unresolved_ids.contains(id);
+  // A submission whose row may be stored must not be answered as refused.
+  if (!pending->unresolved &&
+      this->RefuseIfOverloaded(exchange, queue, pending->submission))
+    return;
   pending->submission.accepted_ms = absl::ToUnixMillis(SystemClock().Now());
   pending->deadline =
       BootClock().Now() +
--- a/fleet/fleet_message.h
+++ b/fleet/fleet_message.h
@@ -28,6 +28,7 @@
 #include "base/error.h"
 #include "submission/crash.h"
 #include "submission/interference_model.h"
+#include "submission/overload.h"
 #include "submission/permits.h"
 #include "submission/types.h"
 
@@ -208,6 +209,18 @@
   }
 };
 
+// Planner to entry, with each WaitingNotice: capacity and queued work by
+// service.
+struct CapacityNotice {
+  uint64_t epoch = 0;
+  std::vector<ServiceLoad> services;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->epoch, this->services);
+  }
+};
+
 // Agent to planner: all runs on its runner. Sent when a connection is opened,
 // when the runner's incarnation has changed, and once all ends are listed after
 // a part of them.
@@ -426,7 +439,8 @@
                                   PermitRequest,
                                   PermitAnswer,
                                   StartedNotice,
-                                  WorkerVacated>;
+                                  WorkerVacated,
+                                  CapacityNotice>;
 
 // Returns the payload of a frame: a tag byte, which is the index of the
 // message's type in FleetMessage, and the message.
--- a/fleet/fleet_planner.cc
+++ b/fleet/fleet_planner.cc
@@ -82,6 +82,7 @@
       ends_total(metrics->GetCounter("planner_ends_total")),
       takeovers_total(metrics->GetCounter("planner_takeovers_total")),
       held_tasks(metrics->GetGauge("planner_held_tasks")),
+      metrics(metrics),
       start_wait_seconds(metrics->GetHistogram("planner_start_wait_seconds")),
       store_wait_seconds(metrics->GetHistogram("planner_store_wait_seconds")),
       load_seconds(metrics->GetHistogram("planner_load_seconds")),
@@ -251,6 +252,7 @@
   this->stale_progress.clear();
   this->held_lines.clear();
   this->held_tasks.Set(0);
+  this->SetLoadGauges({});
   this->reading_submissions = false;
   this->feeds_in_progress.clear();
   this->disconnected_since = absl::InfinitePast();
@@ -438,6 +440,7 @@
   // Sent also when nothing has changed, since entries ignore outdated counts.
   this->nodes.SendToEntries(
       WaitingNotice{this->lease.Epoch(), this->scheduler->WaitingCounts()});
+  this->SendServiceLoads(now);
 }
 
 }  // namespace cuminjunction
--- a/fleet/fleet_planner.h
+++ b/fleet/fleet_planner.h
@@ -220,6 +220,9 @@
   void Flush();
   void SendStates(const std::vector<StateChange>& changes);
   void SendWaitingCounts(absl::Time now);
+  // Sends a CapacityNotice, and sets the gauges of capacity and backlog.
+  void SendServiceLoads(absl::Time now);
+  void SetLoadGauges(const std::vector<ServiceLoad>& loads);
   absl::Duration CurrentGrant(absl::Time now) const;
   // Returns the latest deadline of the grants that the previous planner made.
   absl::Time InheritedGrantDeadline(bool long_grants_made) const;
@@ -243,6 +246,10 @@
   Counter& takeovers_total;
   // Long-running tasks that have had no run for kHeldAfter.
   Gauge& held_tasks;
+  Metrics* metrics;
+  // Labels of the gauges of the last notice, which are set to 0 if the next one
+  // lacks them.
+  std::map<std::string, std::set<std::string>> load_labels;
   // Time from when a step could start until the order for each of its tasks.
   Histogram& start_wait_seconds;
   // Time from the end of a run, or another change, until it is stored.
--- a/submission/overload.cc
+++ b/submission/overload.cc
@@ -14,6 +14,9 @@
 // docs/design/overload.md.
 constexpr double kBeginMargin = 0.05;
 
+// Largest class of AddQueuedWork(): 17 minutes, many times any objective.
+constexpr int64_t kMaxStaysAheadMs = 1'024'000;
+
 // How much more a submission counts that has begun.
 constexpr double kBegunFactor = 2;
 
@@ -68,13 +71,14 @@
 // Objective of a submission with this longest chain. Figures of the queue that
 // are out of range are clamped.
 double ObjectiveMs(const Queue& queue, double chain_ms) {
-  constexpr auto kMax = static_cast<double>(kMaxAmount);
+  constexpr auto largest = static_cast<double>(kMaxAmount);
   // Written so that a stretch that is not a number becomes the largest one.
   const double stretch =
-      queue.stretch < kMax ? std::max(0.0, queue.stretch) : kMax;
+      queue.stretch < largest ? std::max(0.0, queue.stretch) : largest;
   return std::min(
-      kMax, stretch * chain_ms +
-                std::clamp(static_cast<double>(queue.objective_ms), 0.0, kMax));
+      largest,
+      stretch * chain_ms +
+          std::clamp(static_cast<double>(queue.objective_ms), 0.0, largest));
 }
 
 }  // namespace
@@ -150,4 +154,105 @@
       std::max(1.0, std::min(shortest + jitter * spread, limit)));
 }
 
+bool IsPlausible(const ServiceLoad& load) {
+  const auto is_amount = [](int64_t value) {
+    return value >= 0 && value <= kMaxAmount;
+  };
+  return load.capacity_millicores > 0 && is_amount(load.capacity_millicores) &&
+         std::all_of(load.queued.begin(), load.queued.end(),
+                     [&](const QueuedWork& queued) {
+                       return is_amount(queued.priority) &&
+                              is_amount(queued.stays_ahead_ms) &&
+                              is_amount(queued.work) &&
+                              is_amount(queued.blocking_work) &&
+                              is_amount(queued.largest_blocking.millicores) &&
+                              is_amount(queued.largest_blocking.memory_mib) &&
+                              is_amount(queued.largest_blocking.accelerators) &&
+                              is_amount(queued.longest_blocking_ms);
+                     });
+}
+
+void AddQueuedWork(const QueuedWork& added, ServiceLoad* load) {
+  int64_t stays_ahead_ms = 0;
+  for (int64_t ms = 1000; ms <= added.stays_ahead_ms && ms <= kMaxStaysAheadMs;
+       ms *= 2)
+    stays_ahead_ms = ms;
+  const int64_t priority = std::clamp<int64_t>(added.priority, 0, kMaxAmount);
+  auto found = std::find_if(load->queued.begin(), load->queued.end(),
+                            [&](const QueuedWork& queued) {
+                              return queued.priority == priority &&
+                                     queued.stays_ahead_ms == stays_ahead_ms;
+                            });
+  if (found == load->queued.end()) {
+    load->queued.push_back({priority, stays_ahead_ms, 0, 0, {}, 0});
+    found = load->queued.end() - 1;
+  }
+  found->work = std::min(kMaxAmount, found->work + added.work);
+  // Hopeless work, and such that soon will be, blocks nothing.
+  if (added.blocking_work == 0 || stays_ahead_ms == 0)
+    return;
+  found->blocking_work =
+      std::min(kMaxAmount, found->blocking_work + added.blocking_work);
+  Size& largest = found->largest_blocking;
+  largest.millicores =
+      std::max(largest.millicores, added.largest_blocking.millicores);
+  largest.memory_mib =
+      std::max(largest.memory_mib, added.largest_blocking.memory_mib);
+  largest.accelerators =
+      std::max(largest.accelerators, added.largest_blocking.accelerators);
+  found->longest_blocking_ms =
+      std::max(found->longest_blocking_ms, added.longest_blocking_ms);
+}
+
+std::optional<absl::Duration> FindCertainBacklog(const Submission& submission,
+                                                 const Queue& queue,
+                                                 const ServiceLoad* load,
+                                                 absl::Duration age) {
+  const bool exempt = submission.scheduled || queue.advice.required ||
+                      std::any_of(submission.steps.begin(),
+                                  submission.steps.end(), [](const Step& step) {
+                                    return step.long_running || step.fills;
+                                  });
+  if (exempt || load == nullptr || !IsPlausible(*load))
+    return std::nullopt;
+  const double chain_ms = LongestChainMs(submission);
+  const double least_chain_ms = chain_ms / kEstimateFactor;
+  const double limit_ms =
+      kLateFactor * ObjectiveMs(queue, kEstimateFactor * chain_ms);
+  const double age_ms = std::max(0.0, absl::ToDoubleMilliseconds(age));
+  const int64_t priority = std::clamp<int64_t>(queue.priority, 0, kMaxAmount);
+  const auto capacity = static_cast<double>(load->capacity_millicores);
+  double backlog_work = 0;
+  double blocking_work = 0;
+  double longest_blocking_ms = 0;
+  for (const QueuedWork& queued : load->queued) {
+    if (queued.priority <= priority)
+      backlog_work += static_cast<double>(queued.work);
+    if (queued.priority >= priority ||
+        static_cast<double>(queued.stays_ahead_ms) - age_ms < limit_ms ||
+        !std::all_of(submission.steps.begin(), submission.steps.end(),
+                     [&](const Step& step) {
+                       return Fits(queued.largest_blocking, step.size);
+                     }))
+      continue;
+    blocking_work += static_cast<double>(queued.blocking_work);
+    longest_blocking_ms = std::max(
+        longest_blocking_ms,
+        kEstimateFactor * static_cast<double>(queued.longest_blocking_ms));
+  }
+  const double least_wait_ms =
+      std::max(0.0, blocking_work / kEstimateFactor / capacity -
+                        longest_blocking_ms - age_ms);
+  if (least_wait_ms + least_chain_ms <= limit_ms)
+    return std::nullopt;
+  return absl::Milliseconds(backlog_work / capacity);
+}
+
+int64_t RetryAfterOverload(absl::Duration backlog, double jitter) {
+  const double seconds =
+      std::ceil(absl::ToDoubleSeconds(backlog) * (1 + jitter / 2));
+  return static_cast<int64_t>(
+      std::clamp(seconds, 1.0, static_cast<double>(kMaxOverloadRetryAfter)));
+}
+
 }  // namespace cuminjunction
--- a/submission/overload.h
+++ b/submission/overload.h
@@ -15,6 +15,7 @@
 #include <concepts>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -134,6 +135,86 @@
                          absl::Duration useful_within,
                          double jitter);
 
+// Unstarted work of one priority that stays ahead of less urgent submissions
+// for at least a certain time: a submission that turns hopeless lets others
+// pass. Amounts are estimates.
+struct QueuedWork {
+  int64_t priority = 0;
+  // At least so long, in milliseconds.
+  int64_t stays_ahead_ms = 0;
+  // Millicore-milliseconds of all tasks.
+  int64_t work = 0;
+  // The part of it that would occupy any VM on which a less urgent task of at
+  // least the largest size here fits: ready tasks without conditions of
+  // placement, that are not filling and have not failed.
+  int64_t blocking_work = 0;
+  Size largest_blocking;
+  int64_t longest_blocking_ms = 0;
+
+  bool operator==(const QueuedWork&) const = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->priority, this->stays_ahead_ms, this->work,
+            this->blocking_work, this->largest_blocking,
+            this->longest_blocking_ms);
+  }
+};
+
+// Capacity and queued work of one service.
+struct ServiceLoad {
+  std::string service;
+  // Of all its runners, also of those that take no tasks now, so that it is an
+  // upper bound until runners are added.
+  int64_t capacity_millicores = 0;
+  std::vector<QueuedWork> queued;
+
+  bool operator==(const ServiceLoad&) const = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->service, this->capacity_millicores, this->queued);
+  }
+};
+
+// True if the figures can be used: no negative amount, none beyond kMaxAmount,
+// and some capacity.
+bool IsPlausible(const ServiceLoad& load);
+
+// Adds work to the class of its priority and of the time for which it stays
+// ahead, rounded down to a power of two of seconds.
+void AddQueuedWork(const QueuedWork& added, ServiceLoad* load);
+
+// Factor by which a caller's estimate may be off either way.
+inline constexpr double kEstimateFactor = 2;
+
+// Load pattern: a backlog of urgent submissions that lasts longer than a less
+// urgent one can wait.
+//
+// Returns the estimated time until the backlog has cleared if the submission
+// certainly can't end within kLateFactor times its objective, even if all
+// estimates are off by kEstimateFactor; otherwise nullopt. `age` is the age of
+// `load`, which is null if there is no recent one. The bounds are:
+// - Its tasks take at least their estimates / kEstimateFactor, and its
+//   objective is at most that of its chain * kEstimateFactor.
+// - The blocking work that is more urgent and stays ahead for the whole time is
+//   at least its estimate / kEstimateFactor, and the whole capacity works on
+//   it. A task of the submission that is as large in every dimension as each
+//   blocking one can't start before all of them have started, which is at most
+//   the longest of them (estimate * kEstimateFactor) before they are done.
+// Cancellations and runners that are added are not foreseen. Long-running and
+// scheduled submissions, and those with filling tasks, are never refused.
+std::optional<absl::Duration> FindCertainBacklog(const Submission& submission,
+                                                 const Queue& queue,
+                                                 const ServiceLoad* load,
+                                                 absl::Duration age);
+
+// Retry-After in whole seconds of a submission refused for this backlog: the
+// time until it has cleared and up to half as much again, by `jitter` from 0 to
+// less than 1. From 1 to kMaxOverloadRetryAfter.
+inline constexpr int64_t kMaxOverloadRetryAfter = 60;
+int64_t RetryAfterOverload(absl::Duration backlog, double jitter);
+
 }  // namespace cuminjunction
 
 #endif  // SUBMISSION_OVERLOAD_H_
--- a/submission/scheduler.h
+++ b/submission/scheduler.h
@@ -322,6 +322,9 @@
   // Number of submissions without a started task, by queue.
   std::map<std::string, uint64_t> WaitingCounts() const;
 
+  // Capacity and unstarted work of the submissions that end, by service.
+  std::vector<ServiceLoad> ServiceLoads(absl::Time now) const;
+
   bool HasSubmission(const std::string& id) const {
     return this->submissions.contains(id);
   }
@@ -398,6 +401,12 @@
   void StartGang(StepCandidate* candidate, Orders* orders, absl::Time now);
   // Computes the worker's latency outlooks unless this plan has done so.
   void RefreshOutlooks(Worker* worker, absl::Time now);
+  // Adds the tasks of a ready step to QueuedWork::blocking_work.
+  void AddBlockingWork(const ActiveSubmission& active,
+                       const Step& step,
+                       const StepSlots& slots,
+                       absl::Time now,
+                       QueuedWork* queued) const;
   // Returns PlacementCost() with current latency outlooks.
   std::optional<double> CostOn(Worker* worker,
                                const Step& step,
--- a/submission/scheduler_order.cc
+++ b/submission/scheduler_order.cc
@@ -121,4 +121,74 @@
   return candidates;
 }
 
+std::vector<ServiceLoad> Scheduler::ServiceLoads(absl::Time now) const {
+  std::map<std::string, ServiceLoad> loads;
+  for (const auto& [vm, worker] : this->workers) {
+    ServiceLoad& load = loads[worker->info.service];
+    load.capacity_millicores = std::min(
+        kMaxAmount, load.capacity_millicores +
+                        std::clamp<int64_t>(worker->info.capacity.millicores, 0,
+                                            kMaxAmount));
+  }
+  for (const auto& [id, active] : this->live) {
+    if (active->long_running)
+      continue;
+    const auto load = loads.find(active->queue.service);
+    if (load == loads.end())
+      continue;
+    for (const OccurrenceSlots& occurrence : active->occurrences) {
+      const RankInputs inputs = RankInputsOf(*active, occurrence, now);
+      if (inputs.unstarted_work <= 0)
+        continue;
+      QueuedWork queued;
+      queued.priority = inputs.priority;
+      queued.stays_ahead_ms = absl::ToInt64Milliseconds(
+          inputs.objective_start + kLateFactor * inputs.Objective() -
+          inputs.earliest_completion);
+      queued.work = static_cast<int64_t>(std::min(
+          1000 * inputs.unstarted_work, static_cast<double>(kMaxAmount)));
+      for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+        if (IsReady(*active, occurrence, step))
+          this->AddBlockingWork(*active, active->submission.steps[step],
+                                occurrence.steps[step], now, &queued);
+      }
+      AddQueuedWork(queued, &load->second);
+    }
+  }
+  std::vector<ServiceLoad> result;
+  for (auto& [service, load] : loads) {
+    load.service = service;
+    result.push_back(std::move(load));
+  }
+  return result;
+}
+
+void Scheduler::AddBlockingWork(const ActiveSubmission& active,
+                                const Step& step,
+                                const StepSlots& slots,
+                                absl::Time now,
+                                QueuedWork* queued) const {
+  if (active.queue.advice.required || step.fills || step.gang ||
+      !step.required_label.empty() || step.max_per_vm > 0)
+    return;
+  double work = 0;
+  for (const TaskSlot& slot : slots.tasks) {
+    if (this->MayStart(slot, now) && slot.failed_vm.empty() &&
+        slot.crashes.empty())
+      work += static_cast<double>(step.size.millicores) *
+              static_cast<double>(step.estimate_ms);
+  }
+  if (work <= 0)
+    return;
+  queued->blocking_work = static_cast<int64_t>(
+      std::min(static_cast<double>(queued->blocking_work) + work,
+               static_cast<double>(kMaxAmount)));
+  Size& largest = queued->largest_blocking;
+  largest.millicores = std::max(largest.millicores, step.size.millicores);
+  largest.memory_mib = std::max(largest.memory_mib, step.size.memory_mib);
+  largest.accelerators = std::max(largest.accelerators, step.size.accelerators);
+  queued->longest_blocking_ms =
+      std::max(queued->longest_blocking_ms, step.estimate_ms);
+}
+
 }  // namespace cuminjunction
