--- a/fleet/testing/script_planner.h
+++ b/fleet/testing/script_planner.h
@@ -12,6 +12,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
+#include <cstdint>
 #include <deque>
 #include <memory>
 #include <optional>
@@ -86,7 +87,9 @@
     if (this->link->IsClosed())
       return;
     this->link->Send(EncodeFleetMessage(
-        PlannerPing{.epoch = this->epoch, .planner = "script"}));
+        PlannerPing{.epoch = this->epoch,
+                    .planner = "script",
+                    .echoed_timestamp_us = this->last_timestamp_us}));
     this->ping_timer.expires_after(std::chrono::milliseconds(200));
     this->ping_timer.async_wait([this](std::error_code error) {
       if (!error)
@@ -96,12 +99,16 @@
 
   Status OnFrame(std::string_view payload) {
     BOOST_OUTCOME_TRY(message, DecodeFleetMessage(payload));
+    if (const auto* pong = std::get_if<NodePong>(&message))
+      this->last_timestamp_us = pong->timestamp_us;
     const absl::MutexLock lock(&this->mutex);
     this->received.push_back(std::move(message));
     return Ok();
   }
 
   const uint64_t epoch;
+  // NodePong::timestamp_us of the last answer; used on the planner's thread.
+  int64_t last_timestamp_us = 0;
   absl::Mutex mutex;
   std::deque<FleetMessage> received;
   EventThread thread;
--- a/submission/scheduler_order.cc
+++ b/submission/scheduler_order.cc
@@ -123,12 +123,20 @@
 
 std::vector<ServiceLoad> Scheduler::ServiceLoads(absl::Time now) const {
   std::map<std::string, ServiceLoad> loads;
+  // The capacity of a VM that has not reported yet, as after a takeover, is not
+  // known, so that nothing can be said for certain.
+  bool complete = true;
   for (const auto& [vm, worker] : this->workers) {
+    if (worker->info.service.empty()) {
+      complete = false;
+      continue;
+    }
+    if (worker->info.capacity.millicores <= 0)
+      continue;
     ServiceLoad& load = loads[worker->info.service];
     load.capacity_millicores = std::min(
         kMaxAmount, load.capacity_millicores +
-                        std::clamp<int64_t>(worker->info.capacity.millicores, 0,
-                                            kMaxAmount));
+                        std::min(worker->info.capacity.millicores, kMaxAmount));
   }
   for (const auto& [id, active] : this->live) {
     if (active->long_running)
@@ -148,7 +156,7 @@
       queued.work = static_cast<int64_t>(std::min(
           1000 * inputs.unstarted_work, static_cast<double>(kMaxAmount)));
       for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-        if (IsReady(*active, occurrence, step))
+        if (complete && IsReady(*active, occurrence, step))
           this->AddBlockingWork(*active, active->submission.steps[step],
                                 occurrence.steps[step], now, &queued);
       }
--- a/submission/testing/admission_test.cc
+++ b/submission/testing/admission_test.cc
@@ -135,6 +135,29 @@
       IsRefused(submission, MakeQueue("plans", -7, 2, 1000), MakeLoad()));
 }
 
+using ServiceLoadsTest = SchedulerTest;
+
+// Guards against a refusal by a planner that has just taken over and does not
+// know the capacity of all VMs yet.
+TEST_F(ServiceLoadsTest, NothingBlocksUntilAllVmsHaveReported) {
+  this->scheduler.ExpectWorker("vm-2", this->now + absl::Seconds(3));
+  this->scheduler.MergeReport(MakeReport("vm-1"), this->now);
+  Submission submission = MakeSubmission(kId, {MakeStep(9, 1000)});
+  submission.accepted_ms = absl::ToUnixMillis(this->now);
+  this->Add(submission);
+  std::vector<ServiceLoad> loads = this->scheduler.ServiceLoads(this->now);
+  ASSERT_EQ(loads.size(), 1u);
+  EXPECT_EQ(loads[0].capacity_millicores, 4000);
+  ASSERT_EQ(loads[0].queued.size(), 1u);
+  EXPECT_EQ(loads[0].queued[0].work, 9'000'000);
+  EXPECT_EQ(loads[0].queued[0].blocking_work, 0);
+  this->scheduler.MergeReport(MakeReport("vm-2"), this->now);
+  loads = this->scheduler.ServiceLoads(this->now);
+  ASSERT_EQ(loads.size(), 1u);
+  EXPECT_EQ(loads[0].capacity_millicores, 8000);
+  EXPECT_EQ(loads[0].queued[0].blocking_work, 9'000'000);
+}
+
 // Load pattern: callers that were refused for the same backlog. Guards against
 // their return at the same time.
 TEST(RetryAfterOverloadTest, IsSpreadAndBounded) {
