--- a/submission/overload.h
+++ b/submission/overload.h
@@ -92,7 +92,7 @@
   // Without waiting submissions, the share is kept for this long.
   static constexpr double kMaxCreditSeconds = 1;
   static constexpr double kAgeingFactor = 2;
-  static constexpr double kDefaultShare = 0.02;
+  static constexpr double kDefaultShare = 0.01;
 
   // Part of the capacity that admitted submissions occupy before others.
   static constexpr double kMaxWidth = 0.05;
