--- a/fleet/fleet_entry_submit.cc
+++ b/fleet/fleet_entry_submit.cc
@@ -32,18 +32,23 @@
   }
   submission.value().id = id;
   submission.value().queue = queue.name;
+  const bool unresolved = this->unresolved_ids.contains(id);
+  // A submission whose row may be stored must not be answered as refused.
+  if (!unresolved &&
+      this->RefuseIfOverloaded(exchange, queue, submission.value()))
+    return;
   submission.value().accepted_ms = absl::ToUnixMillis(SystemClock().Now());
   const absl::Time deadline =
       exchange->received +
       absl::Milliseconds(CallerPatienceMs(exchange->headers)
                              .value_or(kDefaultCallerTimeoutMs)) -
       kAnswerMargin;
-  this->settler->Settle(submission.value(), exchange->body.size(), deadline,
-                        this->unresolved_ids.contains(id),
-                        [this, exchange, submission = submission.value()](
-                            const SettledSubmission& settled) {
-                          this->OnSettled(exchange, submission, settled);
-                        });
+  this->settler->Settle(
+      submission.value(), exchange->body.size(), deadline, unresolved,
+      [this, exchange,
+       submission = submission.value()](const SettledSubmission& settled) {
+        this->OnSettled(exchange, submission, settled);
+      });
 }
 
 void FleetEntry::OnSettled(HttpExchange* exchange,
@@ -59,17 +64,19 @@
       this->Refuse(exchange, 410, id, "cancelled");
       break;
     case SettledOutcome::kNotSent:
-      this->Refuse(exchange, 503, id, "store-unavailable");
+      this->Refuse(exchange, 503, id, "store-unavailable",
+                   this->UsefulRetry(submission));
       break;
     case SettledOutcome::kTooMany:
-      this->Refuse(exchange, 503, id, "too-many-waiting");
+      this->Refuse(exchange, 503, id, "too-many-waiting",
+                   this->UsefulRetry(submission));
       break;
     case SettledOutcome::kFenced:
       this->unresolved_ids.erase(id);
       this->log->Write(LogLine("submission_fenced")
                            .Add("submission", id)
                            .Add("row_version", settled.version));
-      this->Refuse(exchange, 503, id, "fenced");
+      this->Refuse(exchange, 503, id, "fenced", this->UsefulRetry(submission));
       break;
     case SettledOutcome::kUnknown:
       if (this->unresolved_ids.insert(id).second)
--- a/fleet/fleet_planner.cc
+++ b/fleet/fleet_planner.cc
@@ -89,6 +89,7 @@
       takeovers_total(metrics->GetCounter("planner_takeovers_total")),
       held_tasks(metrics->GetGauge("planner_held_tasks")),
       evacuated_domains(metrics->GetGauge("planner_evacuated_domains")),
+      metrics(metrics),
       start_wait_seconds(metrics->GetHistogram("planner_start_wait_seconds")),
       store_wait_seconds(metrics->GetHistogram("planner_store_wait_seconds")),
       load_seconds(metrics->GetHistogram("planner_load_seconds")),
@@ -267,6 +268,7 @@
   this->logged_evacuations = {};
   this->evacuation_lines_from = absl::InfiniteFuture();
   this->starts_held = false;
+  this->SetLoadGauges({});
   this->reading_submissions = false;
   this->feeds_in_progress.clear();
   this->disconnected_since = absl::InfinitePast();
@@ -458,6 +460,7 @@
   // Sent also when nothing has changed, since entries ignore outdated counts.
   this->nodes.SendToEntries(
       WaitingNotice{this->lease.Epoch(), this->scheduler->WaitingCounts()});
+  this->SendServiceLoads(now);
 }
 
 }  // namespace cuminjunction
--- a/fleet/testing/script_planner.h
+++ b/fleet/testing/script_planner.h
@@ -12,6 +12,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
+#include <cstdint>
 #include <deque>
 #include <memory>
 #include <optional>
@@ -128,6 +129,7 @@
   }
 
   const uint64_t epoch;
+  // NodePong::timestamp_us of the last answer; used on the planner's thread.
   absl::Mutex mutex;
   std::deque<FleetMessage> received;
   EventThread thread;
--- a/submission/scheduler.h
+++ b/submission/scheduler.h
@@ -34,6 +34,7 @@
 #include "submission/evacuation.h"
 #include "submission/evacuation_moves.h"
 #include "submission/interference_model.h"
+#include "submission/overload.h"
 #include "submission/permits.h"
 #include "submission/place.h"
 #include "submission/placement_search.h"
@@ -171,6 +172,13 @@
   // move a task. Off at first.
   void HoldStarts(bool hold) { this->starts_held = hold; }
 
+  // Replaces the planning rule and the share of the capacity that goes by age,
+  // to compare several.
+  void SetPlanningRule(PlanningOrderFunction order, AgeingShare ageing) {
+    this->planning_order = order;
+    this->ageing = std::move(ageing);
+  }
+
   // Adds a submission unless it is already present. Returns false, and adds
   // nothing, if it is not well-formed. `now` is of the boot clock, as in all
   // methods, and `wall` of the system clock, at the same moment.
@@ -330,10 +338,16 @@
   // Number of submissions without a started task, by queue.
   std::map<std::string, uint64_t> WaitingCounts() const;
 
+  // Capacity and unstarted work of the submissions that end, by service.
+  std::vector<ServiceLoad> ServiceLoads(absl::Time now) const;
+
   bool HasSubmission(const std::string& id) const {
     return this->submissions.contains(id);
   }
 
+  // True if the submission is present and its state is not final.
+  bool IsLive(const std::string& id) const { return this->live.contains(id); }
+
   // True if the submissions of all these runs are present. An agent may report
   // a run of a submission that was stored after this planner read the table,
   // and that the previous planner started. Read its row before MergeReport() or
@@ -391,7 +405,10 @@
   void CountWorkerFailure(Worker* worker, const TaskSlot& slot, absl::Time now);
   void StopUnwanted(Orders* orders);
   void AddOccurrences(absl::Time now);
-  std::vector<StepCandidate> CollectCandidates(absl::Time now);
+  // Returns the steps with tasks to start, and sets `order` to their indexes in
+  // the order of the planning rule.
+  std::vector<StepCandidate> CollectCandidates(absl::Time now,
+                                               std::vector<uint32_t>* order);
   // Starts tasks of the step until nothing fits or the plan is full.
   void StartStep(StepCandidate* candidate,
                  WorkerOrder* order,
@@ -401,6 +418,12 @@
   void StartGang(StepCandidate* candidate, Orders* orders, absl::Time now);
   // Computes the worker's latency outlooks unless this plan has done so.
   void RefreshOutlooks(Worker* worker, absl::Time now);
+  // Adds the tasks of a ready step to QueuedWork::blocking_work.
+  void AddBlockingWork(const ActiveSubmission& active,
+                       const Step& step,
+                       const StepSlots& slots,
+                       absl::Time now,
+                       QueuedWork* queued) const;
   // Returns PlacementCost() with current latency outlooks.
   std::optional<double> CostOn(Worker* worker,
                                const Step& step,
@@ -472,6 +495,8 @@
                                absl::Time now) const;
 
   FleetPolicy policy;
+  PlanningOrderFunction planning_order = &OrderOf<WeightedWorkRule>;
+  AgeingShare ageing;
   EvacuatedDomains evacuated_domains;
   bool starts_held = false;
   // A domain has been in the set.
