Gate overload control by a setting and keep the previous order without it

The order by weight, the refusals for overload and the growing Retry-After took effect on all deployments. They now need fleet.overload_control.

--- a/bench/planning_rules.cc
+++ b/bench/planning_rules.cc
@@ -1,4 +1,5 @@
 #include "bench/planning_rules.h"
+#include "submission/planning_order.h"
 
 #include <algorithm>
 #include <functional>
@@ -10,26 +11,6 @@
 
 namespace {
 
-// Sorts the indexes of ready submissions by a key.
-template <class KeyOf>
-std::vector<uint32_t> OrderByKey(const PlanningInputs& inputs,
-                                 const KeyOf& key_of) {
-  std::vector<std::pair<decltype(key_of(0)), uint32_t>> keyed;
-  for (uint32_t index = 0; index < inputs.ready.size(); ++index)
-    keyed.emplace_back(key_of(index), index);
-  std::sort(keyed.begin(), keyed.end());
-  std::vector<uint32_t> order;
-  order.reserve(keyed.size());
-  for (const auto& [key, index] : keyed)
-    order.push_back(index);
-  return order;
-}
-
-bool IsHopeless(const RankInputs& ready) {
-  return !ready.long_running &&
-         ObjectiveOutlookOf(ready) == ObjectiveOutlook::kHopeless;
-}
-
 // Work in millicore-seconds of the feasible submissions so far, by service.
 struct PromisedWork {
   double plain = 0;
@@ -107,15 +88,6 @@
 
 }  // namespace
 
-std::vector<uint32_t> LeastWorkRule::Order(const PlanningInputs& inputs) {
-  return OrderByKey(inputs, [&](uint32_t index) {
-    const RankInputs& ready = inputs.ready[index];
-    return std::tuple(!ready.long_running, !ready.admitted_by_age,
-                      IsHopeless(ready), ready.priority,
-                      ObjectiveOutlookOf(ready), ready.remaining_work);
-  });
-}
-
 std::vector<uint32_t> EarliestDeadlineRule::Order(
     const PlanningInputs& inputs) {
   return OrderByKey(inputs, [&](uint32_t index) {
--- a/bench/planning_rules.h
+++ b/bench/planning_rules.h
@@ -10,11 +10,6 @@
 
 namespace cuminjunction {
 
-// The rule before WeightedWorkRule: priority, outlook, least remaining work.
-struct LeastWorkRule {
-  static std::vector<uint32_t> Order(const PlanningInputs& inputs);
-};
-
 // Priority, outlook, earliest deadline.
 struct EarliestDeadlineRule {
   static std::vector<uint32_t> Order(const PlanningInputs& inputs);
--- a/fleet/fleet_entry.cc
+++ b/fleet/fleet_entry.cc
@@ -90,6 +90,8 @@
       context, this->store.get(), this->settings.name,
       ClaimDelay(fleet.processor_share), this->Retention(),
       absl::Milliseconds(fleet.evacuate_ms), this->log, &this->metrics);
+  if (fleet.overload_control)
+    this->planner->EnableOverloadControl();
   this->port = std::make_unique<PlannerPort>(
       &this->thread, this->settings.name, this->log,
       PlannerPortHandlers{
--- a/fleet/fleet_entry_admission.cc
+++ b/fleet/fleet_entry_admission.cc
@@ -16,6 +16,10 @@
 // A notice without a successor for this long is not used: two are then missing.
 constexpr absl::Duration kMaxLoadAge = absl::Seconds(2);
 
+// Retry-After without overload control. An outage of the store lasts 4 to 9 s,
+// and callers retry four times.
+constexpr int64_t kRetryAfterS = 2;
+
 }  // namespace
 
 void FleetEntry::OnCapacityNotice(CapacityNotice&& notice) {
@@ -40,6 +44,8 @@
 bool FleetEntry::RefuseIfOverloaded(HttpExchange* exchange,
                                     const Queue& queue,
                                     const Submission& submission) {
+  if (!this->settings.fleet.overload_control)
+    return false;
   const absl::Time now = BootClock().Now();
   const auto load = this->loads.find(queue.service);
   if (load == this->loads.end() || now - this->loads_received_at > kMaxLoadAge)
@@ -79,8 +85,11 @@
   // callers must not return together.
   if (status == 503 || status == 429)
     retry_after_s =
-        RetryAfterOutage(BootClock().Now() - this->store_unavailable_since,
-                         useful_within, absl::Uniform(this->random, 0.0, 1.0));
+        this->settings.fleet.overload_control
+            ? RetryAfterOutage(
+                  BootClock().Now() - this->store_unavailable_since,
+                  useful_within, absl::Uniform(this->random, 0.0, 1.0))
+            : kRetryAfterS;
   this->SendRefusal(exchange, status, id, reason, retry_after_s);
 }
 
--- a/fleet/fleet_planner.h
+++ b/fleet/fleet_planner.h
@@ -88,6 +88,9 @@
   // Sets the configuration. The process does not plan before the first call.
   void SetPolicy(const FleetPolicy& policy);
 
+  // Orders submissions by WeightedWorkRule from the next takeover on.
+  void EnableOverloadControl() { this->overload_control = true; }
+
   // Replaces the set of evacuated failure domains, also for the times when this
   // process plans later. Tells the agents at once.
   void SetEvacuations(const EvacuatedDomains& domains);
@@ -258,6 +261,7 @@
   std::string vm;
   absl::Duration retention;
   absl::Duration evacuation_bound;
+  bool overload_control = false;
   Log* log;
   Counter& starts_total;
   Counter& stops_total;
--- a/fleet/fleet_planner_load.cc
+++ b/fleet/fleet_planner_load.cc
@@ -172,6 +172,8 @@
   const LoadedRows& rows = *loaded;
   const absl::Time wall = SystemClock().Now();
   this->scheduler = std::make_unique<Scheduler>();
+  if (this->overload_control)
+    this->scheduler->SetPlanningRule(&OrderOf<WeightedWorkRule>, AgeingShare());
   this->scheduler->SetPolicy(this->policy);
   this->scheduler->SetEvacuations(this->evacuations, now);
   this->evacuated_domains.Set(
--- a/fleet/testing/overload_notice_test.cc
+++ b/fleet/testing/overload_notice_test.cc
@@ -41,6 +41,7 @@
   OverloadNoticeTest() { this->store->Put("op", "", "config", kTwoQueues); }
 
   void Connect() {
+    this->entry_settings.fleet.overload_control = true;
     this->StartEntry();
     this->planner = std::make_unique<ScriptPlanner>(
         PortProcess::Address(this->entry_settings), kEpoch);
--- a/fleet/testing/script_planner.h
+++ b/fleet/testing/script_planner.h
@@ -111,10 +111,9 @@
 
   void SendPing() {
     PlannerPing ping{.epoch = this->epoch, .planner = "script"};
-    if (this->grant > absl::ZeroDuration() && this->timestamp_us > 0) {
-      ping.echoed_timestamp_us = this->timestamp_us;
+    ping.echoed_timestamp_us = this->timestamp_us;
+    if (this->timestamp_us > 0)
       ping.grant_ms = absl::ToInt64Milliseconds(this->grant);
-    }
     ping.evacuated_domains = this->evacuations;
     this->link->Send(EncodeFleetMessage(ping));
   }
--- a/settings/settings.cc
+++ b/settings/settings.cc
@@ -123,6 +123,7 @@
   fleet.processor_share =
       map.Double("processor_share", fleet.processor_share, 0.001, 1024);
   fleet.evacuate_ms = map.Int("evacuate_ms", 0, 0, kMaxEvacuateMs);
+  fleet.overload_control = map.Bool("overload_control", false);
   map.Finish();
   return fleet;
 }
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -100,6 +100,9 @@
   // Time from the operator's evacuation of a failure domain to the last start
   // there, in milliseconds; 0 without a bound.
   int64_t evacuate_ms = 0;
+  // Order submissions by weight and refuse those that certainly are of no use
+  // when capacity is insufficient (entry); see submission/overload.h.
+  bool overload_control = false;
 
   bool operator==(const FleetSettings&) const = default;
   bool IsSet() const { return this->store.port != 0; }
--- a/submission/overload.cc
+++ b/submission/overload.cc
@@ -5,6 +5,8 @@
 #include <tuple>
 #include <utility>
 
+#include "submission/planning_order.h"
+
 namespace cuminjunction {
 
 namespace {
@@ -84,16 +86,18 @@
 }  // namespace
 
 std::vector<uint32_t> WeightedWorkRule::Order(const PlanningInputs& inputs) {
-  std::vector<std::pair<Key, uint32_t>> keyed;
-  keyed.reserve(inputs.ready.size());
-  for (uint32_t index = 0; index < inputs.ready.size(); ++index)
-    keyed.emplace_back(KeyOf(inputs.ready[index], inputs.now), index);
-  std::sort(keyed.begin(), keyed.end());
-  std::vector<uint32_t> order;
-  order.reserve(keyed.size());
-  for (const auto& [key, index] : keyed)
-    order.push_back(index);
-  return order;
+  return OrderByKey(inputs, [&](uint32_t index) {
+    return KeyOf(inputs.ready[index], inputs.now);
+  });
+}
+
+std::vector<uint32_t> LeastWorkRule::Order(const PlanningInputs& inputs) {
+  return OrderByKey(inputs, [&](uint32_t index) {
+    const RankInputs& ready = inputs.ready[index];
+    return std::tuple(!ready.long_running, !ready.admitted_by_age,
+                      IsHopeless(ready), ready.priority,
+                      ObjectiveOutlookOf(ready), ready.remaining_work);
+  });
 }
 
 void AgeingShare::Admit(PlanningInputs* inputs) {
--- a/submission/overload.h
+++ b/submission/overload.h
@@ -75,6 +75,13 @@
   static std::vector<uint32_t> Order(const PlanningInputs& inputs);
 };
 
+// Load pattern: a burst of large submissions of one priority beyond the
+// capacity. Orders by priority and outlook, and completes as many submissions
+// as possible by least remaining work. The largest ones pay for it.
+struct LeastWorkRule {
+  static std::vector<uint32_t> Order(const PlanningInputs& inputs);
+};
+
 // Load pattern: a lasting overload in which the order by priority and outlook
 // would never reach some submissions.
 //
--- a/submission/scheduler.h
+++ b/submission/scheduler.h
@@ -172,8 +172,8 @@
   // move a task. Off at first.
   void HoldStarts(bool hold) { this->starts_held = hold; }
 
-  // Replaces the planning rule and the share of the capacity that goes by age,
-  // to compare several.
+  // Replaces the planning rule and the share of the capacity that goes by age.
+  // At first the rule is LeastWorkRule, and nothing goes by age.
   void SetPlanningRule(PlanningOrderFunction order, AgeingShare ageing) {
     this->planning_order = order;
     this->ageing = std::move(ageing);
@@ -495,8 +495,8 @@
                                absl::Time now) const;
 
   FleetPolicy policy;
-  PlanningOrderFunction planning_order = &OrderOf<WeightedWorkRule>;
-  AgeingShare ageing;
+  PlanningOrderFunction planning_order = &OrderOf<LeastWorkRule>;
+  AgeingShare ageing{0};
   EvacuatedDomains evacuated_domains;
   bool starts_held = false;
   // A domain has been in the set.
