Spare the planner the writes of entries with a slow store

Submissions that waited because two were late went to the planner at once. With a store that answers in 240 ms all entries would have sent it their writes, and it would have stored them no sooner. They now go there when a direct call was refused or lost, or has had no answer for 300 ms.

A planner whose lease has expired ignores requests to store and to fence, but no longer those to cancel, which are written under the lease as before.

Tests: the planner reports a changed fence instead of storing, and fences for an entry; the metric by cause; both sides of the 300 ms.

--- a/fleet/fleet_planner_requests.cc
+++ b/fleet/fleet_planner_requests.cc
@@ -27,11 +27,11 @@
 
 void FleetPlanner::OnStoreRequest(const std::string& node,
                                   const StoreRequest& request) {
-  // A planner that was frozen may have been replaced, and the next one may have
-  // removed a fence that keeps this request from being stored.
-  if (BootClock().Now() >= this->lease.Expiry())
-    return;
   if (request.kind != static_cast<uint8_t>(StoreRequestKind::kCancel)) {
+    // A planner that was frozen may have been replaced, and the next one may
+    // have removed a fence that keeps this request from being stored.
+    if (BootClock().Now() >= this->lease.Expiry())
+      return;
     this->CommitForEntry(node, request);
     return;
   }
--- a/fleet/store_gate.cc
+++ b/fleet/store_gate.cc
@@ -57,9 +57,13 @@
   for (size_t i = 0; i < kRoutes; ++i) {
     Route& route = this->routes[i];
     route.unsettled = 0;
+    route.stalled = false;
     for (const auto& [key, entry] : this->pending) {
       const Attempt& attempt = entry.attempts[i];
       route.unsettled += attempt.lost || this->IsLate(attempt, now) ? 1 : 0;
+      route.stalled =
+          route.stalled ||
+          (attempt.in_flight && now - attempt.sent > this->options.relay_after);
     }
   }
 }
@@ -139,9 +143,11 @@
     return true;
   }
   const bool relay =
-      sent_before ? !attempt.in_flight || direct.silent ||
-                        now - attempt.sent > this->options.relay_after
-                  : !this->IsOpen(direct, now) && !conditions.planner_is_own;
+      sent_before
+          ? !attempt.in_flight || direct.silent ||
+                now - attempt.sent > this->options.relay_after
+          : (direct.silent || direct.stalled || now < direct.next_first) &&
+                !conditions.planner_is_own;
   if (!conditions.planner_available || !relay ||
       !this->MaySend(key, *entry, StoreRoute::kPlanner, step, now))
     return false;
--- a/fleet/store_gate.h
+++ b/fleet/store_gate.h
@@ -40,8 +40,9 @@
   // about 4 ms, and 28 ms from the other region.
   absl::Duration late_after = absl::Milliseconds(100);
   // A submission without an answer for longer than this is sent to the planner
-  // as well, or at once if an earlier answer was lost and none came since. A
-  // slow store answers in 240 ms, which the planner can't shorten.
+  // as well, and those that wait are sent there instead; at once if an earlier
+  // answer was lost and none came since. A slow store answers in 240 ms: the
+  // planner would not be faster, and have the load of all entries.
   absl::Duration relay_after = absl::Milliseconds(300);
   // No further submission is sent on a route while this many of those sent are
   // late or have lost their answers.
@@ -189,6 +190,8 @@
     size_t outstanding = 0;
     // Submissions that are late or have lost their answer.
     size_t unsettled = 0;
+    // One of them has been sent longer ago than `relay_after`.
+    bool stalled = false;
   };
   // Deadline and number.
   using Key = std::pair<absl::Time, uint64_t>;
--- a/fleet/testing/definite_outcomes_test.cc
+++ b/fleet/testing/definite_outcomes_test.cc
@@ -134,9 +134,14 @@
 // Guards against a refusal although the fence has no answer, and against a
 // fence that is carried out after a retry was accepted.
 TEST_F(DefiniteOutcomesTest, AFenceWithoutAnAnswerRefusesNothing) {
+  this->entry_settings.fleet.metrics.port = FreePort();
   this->StartEntry();
   this->store->KeepNextWrites(kBothTables, kAll);
   EXPECT_EQ(this->Submit(1000).get().status, 504);
+  EXPECT_NE(this->Call({"127.0.0.1", this->entry_settings.fleet.metrics.port},
+                       "GET", "/metrics")
+                .body.find("submissions_unknown_total{cause=\"store_slow\"} 1"),
+            std::string::npos);
   this->store->KeepNextWrites(kSubmissionTable, 0);
   EXPECT_EQ(this->Submit().get().status, 200);
   const int64_t version =
--- a/fleet/testing/store_gate_test.cc
+++ b/fleet/testing/store_gate_test.cc
@@ -30,6 +30,8 @@
     for (const StoreSend& send : decisions.sends)
       this->sent[send.attempt] = this->now;
     this->unknown += decisions.unknown.size();
+    for (const UnknownSubmission& each : decisions.unknown)
+      this->only_relayed = each.only_relayed;
     this->refused += decisions.refused.size();
     return decisions;
   }
@@ -54,6 +56,8 @@
   absl::Time now = kStart;
   std::map<uint64_t, absl::Time> sent;
   size_t unknown = 0;
+  // Of the last one.
+  bool only_relayed = false;
   size_t refused = 0;
 };
 
@@ -152,6 +156,46 @@
   }
   EXPECT_EQ(this->refused, 0u);
   EXPECT_EQ(this->unknown, 1u);
+  EXPECT_TRUE(this->only_relayed);
+}
+
+// Guards against a planner that gets the writes of all entries when the store
+// is slow, though it answers.
+TEST_F(StoreGateTest, ASlowStoreDoesNotLoadThePlanner) {
+  this->conditions.planner_available = true;
+  std::multimap<absl::Time, StoreSend> replies;
+  uint64_t number = 0;
+  while (this->now < kStart + absl::Seconds(2)) {
+    while (!replies.empty() && replies.begin()->first <= this->now) {
+      this->Reply(replies.begin()->second, SendResult::kAnswered);
+      this->gate.Remove(replies.begin()->second.submission);
+      replies.erase(replies.begin());
+    }
+    EXPECT_TRUE(this->gate.Add(++number, this->now + absl::Seconds(3), 100,
+                               /*unresolved=*/false));
+    for (const StoreSend& send : this->Decide().sends) {
+      EXPECT_EQ(send.route, StoreRoute::kDirect);
+      replies.emplace(this->now + absl::Milliseconds(240), send);
+    }
+    this->now += kStep;
+  }
+}
+
+// Guards against submissions that wait at an entry whose link is cut, while the
+// planner reaches the store.
+TEST_F(StoreGateTest, WhatWaitsGoesToThePlannerWhenTheStoreStalls) {
+  this->Add(1);
+  this->Add(2);
+  this->now += absl::Milliseconds(150);
+  EXPECT_TRUE(this->Add(3).empty());
+  this->conditions.planner_available = true;
+  EXPECT_TRUE(this->Decide().sends.empty());
+  this->now += absl::Milliseconds(200);
+  bool relayed = false;
+  for (const StoreSend& send : this->Decide().sends)
+    relayed =
+        relayed || (send.submission == 3 && send.route == StoreRoute::kPlanner);
+  EXPECT_TRUE(relayed);
 }
 
 // Guards against a caller that waits for its whole deadline for a refusal, and
--- a/fleet/testing/unknown_cancels_test.cc
+++ b/fleet/testing/unknown_cancels_test.cc
@@ -123,7 +123,8 @@
 
 // Guards against a submission that runs after its cancel, and against one whose
 // row is written anew, so that a planner takes it for one that none before it
-// can have started: the planner stored it for an entry whatever was there.
+// can have started: the planner stored it for an entry whatever was there. The
+// same of one that its entry has fenced.
 TEST_F(UnknownCancelsTest, ThePlannerStoresNoSubmissionTwiceOrAfterItsCancel) {
   const Settings refused_settings = this->CommonSettings("entry-2");
   RefusedEntry refused(refused_settings, &this->log);
@@ -154,11 +155,20 @@
   refused.Send(request(1, cancelled));
   refused.Send(request(2, known));
   refused.Send(request(3, unknown));
-  EXPECT_TRUE(this->WaitUntil([&] { return refused.Outcomes().size() == 3; }));
+  // The entry may have fenced this request before the planner received it.
+  const std::string fenced = "00000000000000a4";
+  this->store->Put(kFenceTable, kFleetPart, fenced, "");
+  refused.Send(request(4, fenced));
+  StoreRequest fence = request(5, "00000000000000a5");
+  fence.kind = static_cast<uint8_t>(StoreRequestKind::kFence);
+  refused.Send(fence);
+  EXPECT_TRUE(this->WaitUntil([&] { return refused.Outcomes().size() == 5; }));
   EXPECT_EQ(refused.Outcomes(), (std::map<uint64_t, SubmissionOutcome>{
                                     {1, SubmissionOutcome::kCancelled},
                                     {2, SubmissionOutcome::kStored},
-                                    {3, SubmissionOutcome::kStored}}));
+                                    {3, SubmissionOutcome::kStored},
+                                    {4, SubmissionOutcome::kFenceChanged},
+                                    {5, SubmissionOutcome::kFenced}}));
   EXPECT_EQ(this->store->CountRows(kSubmissionTable), 2u);
   EXPECT_EQ(this->store->CountBytes(kSubmissionTable),
             Encode(SubmissionRow{stored}).size() +
