--- a/testing/soak/evacuations.cc
+++ b/testing/soak/evacuations.cc
@@ -31,7 +31,8 @@
     const std::string key = StrCat("evacuate/", domain);
     this->fleet->Store()->Put("op", "", key, "{}");
     const absl::Time acknowledged = absl::Now();
-    sleep_between(0.1, 10);
+    // Most are longer than the bound, so that they are checked.
+    sleep_between(3, 14);
     this->spans.push_back(
         {domain, acknowledged + absl::Milliseconds(kEvacuateMs), absl::Now()});
     this->fleet->Store()->Remove("op", "", key);
