Do not wake the batcher a thousand times a second

While an overdue transaction and a recent one were under way, or one was overdue during the pause after a refusal, the timer was set to a time that had passed, and so fired every millisecond until the next transaction could be sent. SendNext() and SetTimer() now share one rule (NextSend()).

--- a/fleet/commit_batcher.cc
+++ b/fleet/commit_batcher.cc
@@ -66,15 +66,18 @@
   this->last_was_slow = latency > kSlowThreshold;
 }
 
+absl::Time CommitBatcher::NextSend() const {
+  if (this->waiting.empty() || this->batches.size() >= kMaxBatches)
+    return absl::InfiniteFuture();
+  absl::Time next = this->last_refusal + kRefusalPause;
+  for (const auto& [number, batch] : this->batches)
+    next = std::max(next, batch.sent_at + kOverlapAfter);
+  return next;
+}
+
 void CommitBatcher::SendNext() {
   const absl::Time now = BootClock().Now();
-  const bool all_overdue = std::all_of(
-      this->batches.begin(), this->batches.end(), [&](const auto& entry) {
-        return now - entry.second.sent_at >= kOverlapAfter;
-      });
-  if (this->waiting.empty() || !all_overdue ||
-      this->batches.size() >= kMaxBatches ||
-      now < this->last_refusal + kRefusalPause)
+  if (now < this->NextSend())
     return;
   const uint64_t number = this->next_batch++;
   Batch& batch = this->batches[number];
@@ -168,20 +171,15 @@
 }
 
 void CommitBatcher::SetTimer() {
-  absl::Time next = absl::InfiniteFuture();
+  absl::Time next = this->NextSend();
   for (const auto& item : this->waiting)
     next = std::min(next, item->deadline);
   for (const auto& [number, batch] : this->batches) {
-    if (!this->waiting.empty() && this->batches.size() < kMaxBatches)
-      next = std::min(next, batch.sent_at + kOverlapAfter);
     for (const auto& item : batch.items) {
       if (item->done)
         next = std::min(next, item->deadline);
     }
   }
-  if (!this->waiting.empty() &&
-      this->last_refusal + kRefusalPause > BootClock().Now())
-    next = std::min(next, this->last_refusal + kRefusalPause);
   this->timer.cancel();
   if (next == absl::InfiniteFuture())
     return;
--- a/fleet/commit_batcher.h
+++ b/fleet/commit_batcher.h
@@ -68,6 +68,9 @@
     std::vector<std::shared_ptr<Item>> items;
   };
 
+  // When the next transaction may be sent: at once, at a later time, or, as
+  // long as no reply comes, never.
+  absl::Time NextSend() const;
   // Sends the commits that wait if a transaction may be sent now.
   void SendNext();
   void OnReply(uint64_t number, const CommitReply& reply);
