Do not send a commit after its deadline

A process that was frozen handles replies before its timers, and the reply to the batch under way sent all commits that waited, also those whose deadlines had passed. After a freeze of more than 30 s the fence of such a submission may have been removed, so that a submission whose caller got 503 from another entry would be stored. SendNext() leaves out commits whose deadline has passed; the timer ends them as not sent.

The new test failed before (kUnknownOutcome instead of kNotSent) and passes.

--- a/fleet/commit_batcher.cc
+++ b/fleet/commit_batcher.cc
@@ -77,7 +77,12 @@
 
 void CommitBatcher::SendNext() {
   const absl::Time now = BootClock().Now();
-  if (now < this->NextSend())
+  // A process that was frozen handles replies before its timers. What it sends
+  // then could arrive after the fence of the submission was removed.
+  const bool any_in_time =
+      std::any_of(this->waiting.begin(), this->waiting.end(),
+                  [&](const auto& item) { return item->deadline > now; });
+  if (!any_in_time || now < this->NextSend())
     return;
   const uint64_t number = this->next_batch++;
   Batch& batch = this->batches[number];
@@ -86,7 +91,8 @@
   for (auto next = this->waiting.begin(); next != this->waiting.end();) {
     Item& item = **next;
     const bool fits =
-        item.alone ? batch.items.empty() : CanMerge(merged, item.commit);
+        item.deadline > now &&
+        (item.alone ? batch.items.empty() : CanMerge(merged, item.commit));
     if (!fits) {
       ++next;
       continue;
--- a/fleet/testing/commit_batcher_test.cc
+++ b/fleet/testing/commit_batcher_test.cc
@@ -186,6 +186,22 @@
   EXPECT_EQ(this->Version("late"), 0);
 }
 
+// Guards against a commit that a process sends after it was frozen: its caller
+// was refused by another process with a fence that has been removed since. The
+// reply of the first batch is handled before the timer.
+TEST_F(CommitBatcherTest, ACommitIsNotSentAfterItsDeadline) {
+  this->standin->SetWriteDelay(absl::Milliseconds(100));
+  this->Commit("first");
+  this->Commit("late", absl::Milliseconds(200));
+  this->RunFor(absl::Milliseconds(20));
+  std::this_thread::sleep_for(std::chrono::milliseconds(400));
+  this->WaitForReplies(2);
+  EXPECT_FALSE(this->replies["first"].error);
+  EXPECT_EQ(this->replies["late"].error, PlatformError::kNotSent);
+  this->RunFor(absl::Milliseconds(200));
+  EXPECT_EQ(this->Version("late"), 0);
+}
+
 // Guards against a refusal of a commit that is stored: its answer was lost.
 TEST_F(CommitBatcherTest, ALostAnswerIsAnUnknownOutcome) {
   this->standin->KeepNextWrites("table", 1);
