Do not take the conflict of a second copy for that of the first

libcurl sends a call again when a kept connection ends without an answer. A conflict of the second copy does not show that the first one has no effect: it may be carried out once the row that conflicts is removed, such as a fence. In a batch the conflict may even be that of another commit. The batcher sent the commits without a conflict of their own again and ended them as refused or not sent, so that their callers got 503. CommitReply::resent now marks such replies, and what is not stored or cancelled by them is unknown.

AConflictOfASecondCopySaysNothingOfTheFirst failed before (kRefused for a commit that was stored later) and passes.

--- a/fleet/commit_batch.cc
+++ b/fleet/commit_batch.cc
@@ -83,6 +83,7 @@
   CommitReply reply;
   reply.error = batch_reply.error;
   reply.version = batch_reply.version;
+  reply.resent = batch_reply.resent;
   for (const StoreRow& row : batch_reply.rows) {
     if (std::any_of(commit.expects.begin(), commit.expects.end(),
                     [&](const StoreExpect& expect) {
--- a/fleet/commit_batcher.cc
+++ b/fleet/commit_batcher.cc
@@ -127,12 +127,14 @@
       this->waiting.push_front(item);
       continue;
     }
-    // A commit without a conflict of its own was not carried out either.
+    // A commit without a conflict of its own was not carried out either, except
+    // perhaps by an earlier copy of the call.
     if (conflict && batch.items.size() > 1 &&
         !HasConflict(item->commit, reply.rows)) {
       if (!item->done)
         continue;
       item->alone = !explained;
+      item->resent = item->resent || reply.resent;
       this->waiting.push_front(item);
       continue;
     }
@@ -146,6 +148,12 @@
   // The deadline has passed before.
   if (!item->done)
     return;
+  if (item->resent) {
+    reply.resent = true;
+    if (reply.error == PlatformError::kRefused ||
+        reply.error == PlatformError::kNotSent)
+      reply.error = PlatformError::kUnknownOutcome;
+  }
   auto done = std::exchange(item->done, nullptr);
   done(std::move(reply));
 }
--- a/fleet/commit_batcher.h
+++ b/fleet/commit_batcher.h
@@ -62,6 +62,9 @@
     // Is not merged with others, after a conflict that none of the commits of
     // its batch explains.
     bool alone = false;
+    // An earlier transaction with it may have been, or may still be, carried
+    // out, so that a later refusal is not certain.
+    bool resent = false;
   };
   struct Batch {
     absl::Time sent_at;
--- a/fleet/submission_commit.cc
+++ b/fleet/submission_commit.cc
@@ -26,7 +26,11 @@
       return {SubmissionOutcome::kStored, row->version};
     if (FindRow(reply, kCancellationTable) != nullptr)
       return {SubmissionOutcome::kCancelled, 0};
-    return {SubmissionOutcome::kNotDone, 0};
+    // The conflict is that of the last copy. An earlier one may be carried out
+    // once the row that conflicts, such as a fence, is removed.
+    return {reply.resent ? SubmissionOutcome::kUnknown
+                         : SubmissionOutcome::kNotDone,
+            0};
   }
   if (reply.error == PlatformError::kRefused ||
       reply.error == PlatformError::kNotSent)
--- a/fleet/testing/commit_batcher_test.cc
+++ b/fleet/testing/commit_batcher_test.cc
@@ -244,6 +244,29 @@
   EXPECT_LT(events, 30u);
 }
 
+// Guards against a refusal of a commit that is stored late: libcurl sent the
+// batch twice, the second copy conflicted because of another commit, and the
+// first one was carried out once that conflict was gone.
+TEST_F(CommitBatcherTest, AConflictOfASecondCopySaysNothingOfTheFirst) {
+  this->standin->Put("table", kPart, "b", "x");
+  // Leaves a kept connection for the batch.
+  this->batcher.Commit({.expects = {}, .puts = {{"other", "first", "x"}}},
+                       absl::Seconds(1),
+                       [](CommitReply&& reply) { EXPECT_FALSE(reply.error); });
+  this->standin->KeepNextWrites("table", 1);
+  this->Commit("a", absl::Milliseconds(800));
+  this->Commit("b", absl::Milliseconds(800));
+  this->WaitForReplies(1);
+  this->standin->SetRefusing(true);
+  EXPECT_EQ(this->replies["b"].error, PlatformError::kConflict);
+  this->WaitForReplies(2);
+  EXPECT_EQ(this->replies["a"].error, PlatformError::kUnknownOutcome);
+  this->standin->SetRefusing(false);
+  this->standin->Remove("table", kPart, "b");
+  this->standin->CarryOutKept();
+  EXPECT_GT(this->Version("a"), 0);
+}
+
 // Guards against a store that counts as slow for ever, since nothing is written
 // to it any more.
 TEST_F(CommitBatcherTest, AFastReadEndsTheSlowState) {
--- a/fleet/testing/submission_commit_test.cc
+++ b/fleet/testing/submission_commit_test.cc
@@ -397,5 +397,19 @@
             SubmissionOutcome::kUnknown);
 }
 
+// Guards against a refusal that is not true: a second copy of a call finds a
+// fence, which is removed before the first copy is carried out.
+TEST(SubmissionCommitTest, AConflictOfASecondCopyIsNoOutcome) {
+  CommitReply reply = {.error = PlatformError::kConflict,
+                       .rows = {{kFenceTable, kId, "", 7}}};
+  EXPECT_EQ(WriteReply(reply).outcome, SubmissionOutcome::kFenceChanged);
+  reply.resent = true;
+  EXPECT_EQ(WriteReply(reply).outcome, SubmissionOutcome::kUnknown);
+  EXPECT_EQ(FenceReply(reply).outcome, SubmissionOutcome::kUnknown);
+  // A row or a cancellation that is found is stored, by whichever copy.
+  reply.rows = {{kSubmissionTable, kId, "", 8}};
+  EXPECT_EQ(WriteReply(reply).outcome, SubmissionOutcome::kStored);
+}
+
 }  // namespace
 }  // namespace cuminjunction
