Write directly while the planner does not answer a slow store's entries

While the store counted as slow, an entry with a connected planner sent nothing directly. If the planner was frozen or dropped the requests, submissions ended as unknown or were held for a second after each lost request, although the store answered. The planner is now passed over for a second after a request that got no answer, or once it has answered nothing for 1.2 s while a request waits; a request without an answer does not count if the planner has answered since it was sent.

Three of the new tests failed before: ASilentPlannerIsPassedOverWhileTheStoreIsSlow, ALostPlannerDoesNotHoldSubmissions and ALateRequestDoesNotHoldOthersWhileThePlannerAnswers.

--- a/fleet/store_gate.cc
+++ b/fleet/store_gate.cc
@@ -64,6 +64,20 @@
   }
 }
 
+void StoreGate::WatchPlanner(absl::Time now) {
+  constexpr auto kIndex = static_cast<size_t>(StoreRoute::kPlanner);
+  Route& route = this->routes[kIndex];
+  const bool silent = std::any_of(
+      this->pending.begin(), this->pending.end(), [&](const auto& each) {
+        const Attempt& attempt = each.second.attempts[kIndex];
+        return attempt.in_flight &&
+               now - std::max(attempt.sent, route.last_answer) >
+                   this->options.planner_silent_after;
+      });
+  if (silent)
+    route.avoided_until = now + this->options.planner_lost_delay;
+}
+
 bool StoreGate::IsOpen(const Route& route, absl::Time now) const {
   return !route.silent && now >= route.next_first &&
          route.unsettled < this->options.max_unsettled;
@@ -124,6 +138,8 @@
                         absl::Time now,
                         std::vector<StoreSend>* sends) {
   const Route& direct = this->routes[static_cast<size_t>(StoreRoute::kDirect)];
+  const Route& planner =
+      this->routes[static_cast<size_t>(StoreRoute::kPlanner)];
   const Attempt& attempt =
       entry->attempts[static_cast<size_t>(StoreRoute::kDirect)];
   const bool sent_before = entry->unresolved || entry->outstanding > 0;
@@ -134,9 +150,9 @@
       (entry->unresolved || late) && key.first - now <= this->options.fence_time
           ? StoreStep::kFence
           : StoreStep::kWrite;
-  const bool planner_first = conditions.store_is_slow &&
-                             conditions.planner_available &&
-                             !conditions.planner_is_own;
+  const bool planner_first =
+      conditions.store_is_slow && conditions.planner_available &&
+      !conditions.planner_is_own && now >= planner.avoided_until;
   if (planner_first &&
       this->MaySend(key, *entry, StoreRoute::kPlanner, step, now)) {
     sends->push_back(this->Send(key, entry, StoreRoute::kPlanner, step, now));
@@ -167,6 +183,7 @@
     direct.silent = conditions.reads_fail;
   this->reads_failed = conditions.reads_fail;
   this->CountUnsettled(now);
+  this->WatchPlanner(now);
   this->holding = false;
   std::vector<uint64_t> removed;
   for (auto& [key, entry] : this->pending) {
@@ -207,6 +224,10 @@
                         absl::Time now) {
   Route& route = this->routes[static_cast<size_t>(send.route)];
   --route.outstanding;
+  if (result != SendResult::kUnknown) {
+    route.last_answer = now;
+    route.avoided_until = absl::InfinitePast();
+  }
   switch (result) {
     case SendResult::kAnswered:
       // Submissions that wait for their repeat follow at the pace of answers.
@@ -219,10 +240,13 @@
       route.next_first = now + this->options.refused_delay;
       break;
     case SendResult::kUnknown:
-      if (send.route == StoreRoute::kPlanner)
+      if (send.route == StoreRoute::kDirect) {
+        if (sent > route.proof)
+          route.silent = true;
+      } else if (sent > route.last_answer) {
         route.next_first = now + this->options.planner_lost_delay;
-      else if (sent > route.proof)
-        route.silent = true;
+        route.avoided_until = route.next_first;
+      }
       break;
   }
   Pending* entry = this->Find(send.submission);
--- a/fleet/store_gate.h
+++ b/fleet/store_gate.h
@@ -64,6 +64,10 @@
   absl::Duration refused_delay = absl::Milliseconds(100);
   // How long the planner is avoided after a request without an answer.
   absl::Duration planner_lost_delay = absl::Seconds(1);
+  // The planner is avoided, also while the store is slow, if it has answered
+  // nothing for this long while a request waits. A transaction of a slow store
+  // takes 0.7 s, and a request may have to wait for the one before.
+  absl::Duration planner_silent_after = absl::Milliseconds(1200);
   // Interval of reads that find out whether the store answers again.
   absl::Duration probe_interval = absl::Milliseconds(150);
   // How long after the deadline a reply that is due at the deadline is awaited.
@@ -106,7 +110,7 @@
   // The planner is in this process, and reaches the store no better.
   bool planner_is_own = false;
   // Transactions take long, so that their number matters: all go to the
-  // planner, which combines those of all entries.
+  // planner, which combines those of all entries, as long as it answers.
   bool store_is_slow = false;
 };
 
@@ -186,6 +190,10 @@
     // No first send before.
     absl::Time next_first = absl::InfinitePast();
     absl::Time next_repeat = absl::InfinitePast();
+    // When the latest answer came.
+    absl::Time last_answer = absl::InfinitePast();
+    // The planner does not answer, and is not preferred before this time.
+    absl::Time avoided_until = absl::InfinitePast();
     // Send time of the latest call that was answered.
     absl::Time proof = absl::InfinitePast();
     // Sends without a reply.
@@ -199,6 +207,8 @@
   Pending* Find(uint64_t submission);
   bool IsLate(const Attempt& attempt, absl::Time now) const;
   void CountUnsettled(absl::Time now);
+  // Finds out whether the planner has left a request without an answer.
+  void WatchPlanner(absl::Time now);
   // True if a submission that was never sent may be sent on the route.
   bool IsOpen(const Route& route, absl::Time now) const;
   bool MaySend(const Key& key,
--- a/fleet/testing/store_gate_test.cc
+++ b/fleet/testing/store_gate_test.cc
@@ -199,6 +199,113 @@
   EXPECT_EQ(decisions.sends.front().submission, 1u);
 }
 
+// Guards against a transaction of each entry's own while the store is slow: the
+// planner combines the writes of all entries.
+TEST_F(StoreGateTest, ASlowStoreIsWrittenThroughThePlanner) {
+  this->conditions = {.planner_available = true, .store_is_slow = true};
+  const auto sends = this->Add(1);
+  ASSERT_EQ(sends.size(), 1u);
+  EXPECT_EQ(sends.front().route, StoreRoute::kPlanner);
+  this->Reply(sends.front(), SendResult::kNotDone);
+  for (const StoreSend& send :
+       this->RunUntil(this->now + absl::Milliseconds(500)))
+    EXPECT_EQ(send.route, StoreRoute::kPlanner);
+}
+
+// Guards against submissions that wait for a planner that is not there, or that
+// is this process.
+TEST_F(StoreGateTest, ASlowStoreIsWrittenDirectlyWithoutAnotherPlanner) {
+  this->conditions = {.store_is_slow = true};
+  const auto alone = this->Add(1);
+  ASSERT_EQ(alone.size(), 1u);
+  EXPECT_EQ(alone.front().route, StoreRoute::kDirect);
+  this->conditions.planner_available = true;
+  this->conditions.planner_is_own = true;
+  const auto own = this->Add(2);
+  ASSERT_EQ(own.size(), 1u);
+  EXPECT_EQ(own.front().route, StoreRoute::kDirect);
+}
+
+// Guards against writes that go through the planner for ever after the store
+// was slow: only a read shows that it no longer is.
+TEST_F(StoreGateTest, ASlowStoreIsRead) {
+  this->conditions = {.planner_available = true, .store_is_slow = true};
+  EXPECT_TRUE(this->gate.Add(1, kDeadline, 100, false));
+  EXPECT_TRUE(this->Decide().probe);
+  this->gate.OnProbe(true, this->now, this->now);
+  this->now += absl::Milliseconds(200);
+  EXPECT_TRUE(this->Decide().probe);
+  this->conditions.store_is_slow = false;
+  this->gate.OnProbe(true, this->now, this->now);
+  this->now += absl::Milliseconds(200);
+  EXPECT_FALSE(this->Decide().probe);
+}
+
+// Guards against submissions that end without a known outcome although the
+// store answers, since the planner is frozen or does not reach it.
+TEST_F(StoreGateTest, ASilentPlannerIsPassedOverWhileTheStoreIsSlow) {
+  this->conditions = {.planner_available = true, .store_is_slow = true};
+  EXPECT_EQ(this->Add(1).front().route, StoreRoute::kPlanner);
+  std::vector<StoreSend> direct;
+  for (const StoreSend& send :
+       this->RunUntil(kDeadline - absl::Milliseconds(1000))) {
+    if (send.route == StoreRoute::kDirect)
+      direct.push_back(send);
+  }
+  ASSERT_EQ(direct.size(), 1u);
+  this->Reply(direct.front(), SendResult::kAnswered);
+  this->gate.Remove(1);
+  // The next one does not wait for the planner either.
+  const auto next = this->Add(2);
+  ASSERT_EQ(next.size(), 1u);
+  EXPECT_EQ(next.front().route, StoreRoute::kDirect);
+}
+
+// Guards against submissions that are held for a planner whose loss is known.
+TEST_F(StoreGateTest, ALostPlannerDoesNotHoldSubmissions) {
+  this->conditions = {.planner_available = true, .store_is_slow = true};
+  const StoreSend lost = this->Add(1).front();
+  this->now += absl::Milliseconds(500);
+  this->Reply(lost, SendResult::kUnknown);
+  const auto next = this->Add(2);
+  ASSERT_FALSE(next.empty());
+  for (const StoreSend& send : next)
+    EXPECT_EQ(send.route, StoreRoute::kDirect);
+}
+
+// Guards against submissions that are held because one request was too late,
+// such as a fence shortly before its deadline, while the planner answers.
+TEST_F(StoreGateTest, ALateRequestDoesNotHoldOthersWhileThePlannerAnswers) {
+  this->conditions = {.planner_available = true, .store_is_slow = true};
+  const StoreSend late = this->Add(1).front();
+  const StoreSend other = this->Add(2).front();
+  this->now += absl::Milliseconds(500);
+  this->Reply(other, SendResult::kAnswered);
+  this->gate.Remove(2);
+  this->Reply(late, SendResult::kUnknown);
+  this->gate.Remove(1);
+  const auto next = this->Add(3);
+  ASSERT_EQ(next.size(), 1u);
+  EXPECT_EQ(next.front().route, StoreRoute::kPlanner);
+}
+
+// Guards against direct writes beside those of a planner that answers, if only
+// slowly.
+TEST_F(StoreGateTest, APlannerThatAnswersIsNotPassedOver) {
+  this->conditions = {.planner_available = true, .store_is_slow = true};
+  StoreSend send = this->Add(1).front();
+  for (uint64_t next = 2; next < 12; ++next) {
+    const auto sends = this->RunUntil(this->now + absl::Milliseconds(200));
+    EXPECT_TRUE(sends.empty());
+    const auto added = this->Add(next);
+    ASSERT_EQ(added.size(), 1u);
+    EXPECT_EQ(added.front().route, StoreRoute::kPlanner);
+    this->Reply(send, SendResult::kAnswered);
+    this->gate.Remove(send.submission);
+    send = added.front();
+  }
+}
+
 // Guards against memory that grows with an outage.
 TEST_F(StoreGateTest, WaitingSubmissionsAreLimitedInNumberAndSize) {
   this->conditions.reads_fail = true;
