Do not refuse a cancellation that may be stored

The batch of cancels of unknown submissions is repeated after a lost answer. When the store refused the repeat, callers got 503, although the first copy may be stored and then keeps the submission from running. Such a cancel is now repeated until its deadline and answered 504.

ARefusalAfterALostReplyIsNoOutcome failed before (503) and passes.

--- a/fleet/fleet_entry.h
+++ b/fleet/fleet_entry.h
@@ -65,6 +65,8 @@
     HttpExchange* exchange = nullptr;
     std::string id;
     absl::Time deadline;
+    // An earlier commit of it may have been, or may still be, carried out.
+    bool unresolved = false;
   };
 
   FleetEntry(const Settings& settings, Log* log);
--- a/fleet/fleet_entry_cancel.cc
+++ b/fleet/fleet_entry_cancel.cc
@@ -50,7 +50,8 @@
         if (error) {
           this->Refuse(exchange, 503, id, "store-unavailable");
         } else if (!state) {
-          this->unknown_cancels.push_back({exchange, id, deadline});
+          this->unknown_cancels.push_back(
+              {.exchange = exchange, .id = id, .deadline = deadline});
           this->StoreUnknownCancels();
         } else {
           this->SetState(id, *state);
@@ -175,7 +176,8 @@
                                         "outcome-unknown");
                        }))
       continue;
-    if (refused)
+    cancel.unresolved = cancel.unresolved || !refused;
+    if (!cancel.unresolved)
       this->Refuse(cancel.exchange, 503, cancel.id, "store-unavailable");
     else if (now + kStoreRetryDelay >= cancel.deadline)
       this->Refuse(cancel.exchange, 504, cancel.id, "outcome-unknown");
--- a/fleet/testing/unknown_cancels_test.cc
+++ b/fleet/testing/unknown_cancels_test.cc
@@ -1,6 +1,7 @@
 // Tests of cancels of submissions that are not stored, with a whole entry.
 // Waits end as soon as the awaited state is reached.
 
+#include <future>
 #include <map>
 #include <set>
 #include <string>
@@ -173,6 +174,23 @@
   EXPECT_EQ(this->Cancel(kSubmissionId), 504);
 }
 
+// Guards against a refusal of a cancellation that is stored: the answer to its
+// first copy was lost, and the store refused the second one.
+TEST_F(UnknownCancelsTest, ARefusalAfterALostReplyIsNoOutcome) {
+  this->StartEntry();
+  this->store->KeepNextWrites(kCancellationTable, kAll);
+  std::future<int> answer = std::async(
+      std::launch::async, [this] { return this->Cancel(kSubmissionId); });
+  ASSERT_TRUE(
+      this->WaitUntil([this] { return this->store->KeptWrites() > 0; }));
+  this->store->SetRefusing(true);
+  EXPECT_EQ(answer.get(), 504);
+  this->store->SetRefusing(false);
+  this->store->KeepNextWrites(kCancellationTable, 0);
+  this->store->CarryOutKept();
+  EXPECT_EQ(this->store->CountRows(kCancellationTable), 1u);
+}
+
 // Guards against a cancellation that is lost with its first reply.
 TEST_F(UnknownCancelsTest, ALostReplyDelaysTheAnswer) {
   this->StartEntry();
