Do not refuse a repeat while another attempt may be stored

A call that repeats an id while the entry's first attempt is without an answer is settled on its own. If its own copies were refused or never sent, it got 503, although the first attempt could still be stored, and was. The settler now ends it as unknown if another pending attempt of the id is uncertain, and the entry if one has ended as unknown. The constant of WatchPlanner() gets the case of a variable.

ARepeatBesideAnUnansweredAttemptIsNotRefused failed before (503 for a submission that is stored) and passes. The test's calls get a client each, since a client belongs to one thread.

--- a/fleet/fleet_entry_submit.cc
+++ b/fleet/fleet_entry_submit.cc
@@ -50,6 +50,16 @@
                            const Submission& submission,
                            const SettledSubmission& settled) {
   const std::string& id = submission.id;
+  // An attempt of the same id, by a call that has been answered meanwhile, may
+  // still be stored.
+  if ((settled.outcome == SettledOutcome::kNotSent ||
+       settled.outcome == SettledOutcome::kTooMany) &&
+      this->unresolved_ids.contains(id)) {
+    this->OnSettled(
+        exchange, submission,
+        {.outcome = SettledOutcome::kUnknown, .cause = "store_slow"});
+    return;
+  }
   switch (settled.outcome) {
     case SettledOutcome::kStored:
       this->AcceptSubmission(exchange, submission, settled.version);
--- a/fleet/store_gate.cc
+++ b/fleet/store_gate.cc
@@ -49,6 +49,14 @@
              : &this->pending.at({found->second, submission});
 }
 
+bool StoreGate::IsUncertain(uint64_t submission) const {
+  const auto found = this->deadlines.find(submission);
+  if (found == this->deadlines.end())
+    return false;
+  const Pending& entry = this->pending.at({found->second, submission});
+  return entry.unresolved || entry.outstanding > 0;
+}
+
 bool StoreGate::IsLate(const Attempt& attempt, absl::Time now) const {
   return attempt.in_flight && now - attempt.sent > this->options.late_after;
 }
@@ -65,11 +73,11 @@
 }
 
 void StoreGate::WatchPlanner(absl::Time now) {
-  constexpr auto kIndex = static_cast<size_t>(StoreRoute::kPlanner);
-  Route& route = this->routes[kIndex];
+  const auto index = static_cast<size_t>(StoreRoute::kPlanner);
+  Route& route = this->routes[index];
   const bool silent = std::any_of(
       this->pending.begin(), this->pending.end(), [&](const auto& each) {
-        const Attempt& attempt = each.second.attempts[kIndex];
+        const Attempt& attempt = each.second.attempts[index];
         return attempt.in_flight &&
                now - std::max(attempt.sent, route.last_answer) >
                    this->options.planner_silent_after;
--- a/fleet/store_gate.h
+++ b/fleet/store_gate.h
@@ -157,6 +157,10 @@
   // answered.
   void OnProbe(bool answered, absl::Time sent, absl::Time now);
 
+  // True if a copy of the submission may have been, or may still be, carried
+  // out. False if it is not there.
+  bool IsUncertain(uint64_t submission) const;
+
   size_t PendingCount() const { return this->pending.size(); }
   // True if submissions that were never sent wait for the store's answer.
   bool IsHolding() const { return this->holding; }
--- a/fleet/submission_settler.cc
+++ b/fleet/submission_settler.cc
@@ -59,7 +59,7 @@
   const uint64_t number = this->next_number++;
   if (!this->gate.Add(number, deadline, bytes, unresolved)) {
     // An earlier write may be carried out, so the outcome is not a refusal.
-    if (unresolved)
+    if (unresolved || this->IsUncertain(submission.id))
       done({.outcome = SettledOutcome::kUnknown, .cause = "store_slow"});
     else
       done({.outcome = SettledOutcome::kTooMany});
@@ -100,11 +100,12 @@
       this->Send(send);
     if (decisions.probe)
       this->Probe();
-    for (const uint64_t number : decisions.refused)
-      this->Finish(number, {.outcome = SettledOutcome::kNotSent});
+    // Before the refusals, which are not true of an id with an unknown attempt.
     for (const UnknownSubmission& unknown : decisions.unknown)
       this->Finish(unknown.submission, {.outcome = SettledOutcome::kUnknown,
                                         .cause = this->CauseOf(unknown)});
+    for (const uint64_t number : decisions.refused)
+      this->Finish(number, {.outcome = SettledOutcome::kNotSent});
   }
   this->acting = false;
   this->waiting.Set(static_cast<double>(this->pending.size()));
@@ -220,8 +221,23 @@
                                const SettledSubmission& settled) {
   auto node = this->pending.extract(number);
   this->gate.Remove(number);
-  if (!node.empty())
+  if (node.empty())
+    return;
+  if (settled.outcome == SettledOutcome::kNotSent &&
+      this->IsUncertain(node.mapped().submission.id))
+    node.mapped().done(
+        {.outcome = SettledOutcome::kUnknown,
+         .cause = this->reads_fail ? "store_lost" : "store_slow"});
+  else
     node.mapped().done(settled);
 }
 
+bool SubmissionSettler::IsUncertain(const std::string& id) const {
+  return std::any_of(this->pending.begin(), this->pending.end(),
+                     [&](const auto& each) {
+                       return each.second.submission.id == id &&
+                              this->gate.IsUncertain(each.first);
+                     });
+}
+
 }  // namespace cuminjunction
--- a/fleet/submission_settler.h
+++ b/fleet/submission_settler.h
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <string>
 #include <string_view>
 
 #include "absl/time/time.h"
@@ -101,6 +102,9 @@
   void OnReply(const StoreSend& send,
                absl::Time sent,
                const SubmissionReply& reply);
+  // True if a copy of an attempt with this id, by whichever call, may have
+  // been, or may still be, carried out.
+  bool IsUncertain(const std::string& id) const;
   void Probe();
   void Finish(uint64_t number, const SettledSubmission& settled);
   std::string_view CauseOf(const UnknownSubmission& unknown) const;
--- a/fleet/testing/definite_outcomes_test.cc
+++ b/fleet/testing/definite_outcomes_test.cc
@@ -36,9 +36,11 @@
     request.headers["Host"] = "shop.example";
     request.headers["X-Cuminjunction-Deadline-Ms"] = StrCat(patience_ms);
     const std::string url = StrCat("http://", ToString(to.fleet.submissions));
-    return std::async(std::launch::async, [this, url, request] {
+    return std::async(std::launch::async, [url, request] {
+      // A client belongs to one thread, and calls may overlap.
+      HttpClient own_client;
       const auto answer =
-          this->client.Send(url, request, absl::Now() + kTestTimeout);
+          own_client.Send(url, request, absl::Now() + kTestTimeout);
       return answer ? answer.value() : HttpResponse{0, "", "", {}};
     });
   }
@@ -199,6 +201,23 @@
 
 // Fixture with an entry that plans, and another one whose link to the store can
 // fail.
+// Guards against a refusal of a repeat that the store refused, while a copy of
+// the first attempt is on its way.
+TEST_F(DefiniteOutcomesTest, ARepeatBesideAnUnansweredAttemptIsNotRefused) {
+  this->StartEntry();
+  this->store->KeepNextWrites(kBothTables, kAll);
+  auto first = this->Submit();
+  ASSERT_TRUE(
+      this->WaitUntil([this] { return this->store->KeptWrites() > 0; }));
+  this->store->SetRefusing(true);
+  EXPECT_EQ(this->Submit(400).get().status, 504);
+  this->store->SetRefusing(false);
+  this->store->KeepNextWrites(kBothTables, 0);
+  this->store->CarryOutKept();
+  EXPECT_TRUE(this->IsStored());
+  EXPECT_EQ(first.get().status, 200);
+}
+
 class RelayedOutcomesTest : public DefiniteOutcomesTest {
  protected:
   RelayedOutcomesTest() : links("links") {
