--- a/fleet/commit_batcher.cc
+++ b/fleet/commit_batcher.cc
@@ -66,15 +66,23 @@
   this->last_was_slow = latency > kSlowThreshold;
 }
 
+absl::Time CommitBatcher::NextSend() const {
+  if (this->waiting.empty() || this->batches.size() >= kMaxBatches)
+    return absl::InfiniteFuture();
+  absl::Time next = this->last_refusal + kRefusalPause;
+  for (const auto& [number, batch] : this->batches)
+    next = std::max(next, batch.sent_at + kOverlapAfter);
+  return next;
+}
+
 void CommitBatcher::SendNext() {
   const absl::Time now = BootClock().Now();
-  const bool all_overdue = std::all_of(
-      this->batches.begin(), this->batches.end(), [&](const auto& entry) {
-        return now - entry.second.sent_at >= kOverlapAfter;
-      });
-  if (this->waiting.empty() || !all_overdue ||
-      this->batches.size() >= kMaxBatches ||
-      now < this->last_refusal + kRefusalPause)
+  // A process that was frozen handles replies before its timers. What it sends
+  // then could arrive after the fence of the submission was removed.
+  const bool any_in_time =
+      std::any_of(this->waiting.begin(), this->waiting.end(),
+                  [&](const auto& item) { return item->deadline > now; });
+  if (!any_in_time || now < this->NextSend())
     return;
   const uint64_t number = this->next_batch++;
   Batch& batch = this->batches[number];
@@ -83,7 +91,8 @@
   for (auto next = this->waiting.begin(); next != this->waiting.end();) {
     Item& item = **next;
     const bool fits =
-        item.alone ? batch.items.empty() : CanMerge(merged, item.commit);
+        item.deadline > now &&
+        (item.alone ? batch.items.empty() : CanMerge(merged, item.commit));
     if (!fits) {
       ++next;
       continue;
@@ -118,12 +127,14 @@
       this->waiting.push_front(item);
       continue;
     }
-    // A commit without a conflict of its own was not carried out either.
+    // A commit without a conflict of its own was not carried out either, except
+    // perhaps by an earlier copy of the call.
     if (conflict && batch.items.size() > 1 &&
         !HasConflict(item->commit, reply.rows)) {
       if (!item->done)
         continue;
       item->alone = !explained;
+      item->resent = item->resent || reply.resent;
       this->waiting.push_front(item);
       continue;
     }
@@ -137,6 +148,12 @@
   // The deadline has passed before.
   if (!item->done)
     return;
+  if (item->resent) {
+    reply.resent = true;
+    if (reply.error == PlatformError::kRefused ||
+        reply.error == PlatformError::kNotSent)
+      reply.error = PlatformError::kUnknownOutcome;
+  }
   auto done = std::exchange(item->done, nullptr);
   done(std::move(reply));
 }
@@ -168,20 +185,15 @@
 }
 
 void CommitBatcher::SetTimer() {
-  absl::Time next = absl::InfiniteFuture();
+  absl::Time next = this->NextSend();
   for (const auto& item : this->waiting)
     next = std::min(next, item->deadline);
   for (const auto& [number, batch] : this->batches) {
-    if (!this->waiting.empty() && this->batches.size() < kMaxBatches)
-      next = std::min(next, batch.sent_at + kOverlapAfter);
     for (const auto& item : batch.items) {
       if (item->done)
         next = std::min(next, item->deadline);
     }
   }
-  if (!this->waiting.empty() &&
-      this->last_refusal + kRefusalPause > BootClock().Now())
-    next = std::min(next, this->last_refusal + kRefusalPause);
   this->timer.cancel();
   if (next == absl::InfiniteFuture())
     return;
--- a/fleet/commit_batcher.h
+++ b/fleet/commit_batcher.h
@@ -62,12 +62,18 @@
     // Is not merged with others, after a conflict that none of the commits of
     // its batch explains.
     bool alone = false;
+    // An earlier transaction with it may have been, or may still be, carried
+    // out, so that a later refusal is not certain.
+    bool resent = false;
   };
   struct Batch {
     absl::Time sent_at;
     std::vector<std::shared_ptr<Item>> items;
   };
 
+  // When the next transaction may be sent: at once, at a later time, or, as
+  // long as no reply comes, never.
+  absl::Time NextSend() const;
   // Sends the commits that wait if a transaction may be sent now.
   void SendNext();
   void OnReply(uint64_t number, const CommitReply& reply);
