--- a/submission/testing/overload_test.cc
+++ b/submission/testing/overload_test.cc
@@ -29,6 +29,7 @@
     urgent.priority = 0;
     policy.queues.push_back(urgent);
     this->scheduler.SetPolicy(policy);
+    this->scheduler.SetPlanningRule(&OrderOf<WeightedWorkRule>, AgeingShare());
     this->scheduler.MergeReport(MakeReport("vm-1"), this->now);
   }
 
