Ignore evacuations on deployments without a bound

Cause: the follower of the operator's rows applied rows of evacuations also with fleet.evacuate_ms 0, so that they kept starts out of a domain there. docs/evacuation-and-overload.md and the design note say that nothing takes effect then. Found when reading the change again.

Change: with a bound of zero the follower ignores these rows.

--- a/fleet/policy_follower.cc
+++ b/fleet/policy_follower.cc
@@ -46,7 +46,8 @@
                                Metrics* metrics,
                                PolicyFollowerHandlers handlers)
     : store(store),
-      feed_wait(evacuation_bound > absl::ZeroDuration()
+      reads_evacuations(evacuation_bound > absl::ZeroDuration()),
+      feed_wait(this->reads_evacuations
                     ? std::min(kFeedWait, evacuation_bound * kFeedWaitShare)
                     : kFeedWait),
       log(log),
@@ -126,6 +127,8 @@
 EvacuatedDomains PolicyFollower::ApplyEvacuations(
     const std::vector<StoreRow>& rows,
     EvacuatedDomains known) const {
+  if (!this->reads_evacuations)
+    return {};
   for (const StoreRow& row : rows) {
     const auto domain = Store::EvacuatedDomain(row);
     if (!domain)
--- a/fleet/policy_follower.h
+++ b/fleet/policy_follower.h
@@ -37,7 +37,8 @@
 class PolicyFollower {
  public:
   // The pointers must outlive this object. With an `evacuation_bound` above
-  // zero, FleetSettings::evacuate_ms, the feed is read more often.
+  // zero, FleetSettings::evacuate_ms, the feed is read more often. With zero
+  // the evacuations are ignored.
   PolicyFollower(boost::asio::io_context* context,
                  Store* store,
                  absl::Duration evacuation_bound,
@@ -79,6 +80,7 @@
   void OnReadSucceeded();
 
   Store* store;
+  bool reads_evacuations;
   absl::Duration feed_wait;
   Log* log;
   Metrics* metrics;
