Send one ping for starts that are refused together

Cause: the planner sent a ping for each start that an agent had refused as expired or evacuated. An order of many starts brings as many refusals, and each ping has an answer, so that a planner which is late for want of processor time fell behind further, and its next orders could expire as well. The refusals of a hundred starts caused a hundred pings.

Change: no such ping is sent within 100 ms after another one to the same agent, the time for which the VM gets no orders after an expired start. The ping that was sent brings a timestamp that is recent enough.

--- a/fleet/fleet_planner_messages.cc
+++ b/fleet/fleet_planner_messages.cc
@@ -97,10 +97,11 @@
                                    static_cast<StartOutcome>(refused->outcome),
                                    now);
     // The answer brings a newer timestamp for the next order, and the ping the
-    // evacuations that this planner knows of.
+    // evacuations that this planner knows of. An order of many starts is
+    // refused by as many messages.
     if (refused->outcome == static_cast<uint8_t>(StartOutcome::kExpired) ||
         refused->outcome == static_cast<uint8_t>(StartOutcome::kEvacuated))
-      this->nodes.PingNow(node);
+      this->nodes.PingUnlessRecent(node);
   } else if (const auto* started = std::get_if<StartedNotice>(&message)) {
     for (const std::string& id : started->submissions)
       this->scheduler->OnStarted(id);
--- a/fleet/planner_nodes.cc
+++ b/fleet/planner_nodes.cc
@@ -16,6 +16,10 @@
 // reset loses one.
 constexpr absl::Duration kPingInterval = absl::Milliseconds(400);
 
+// A ping that was sent within this time brings a timestamp that is recent
+// enough for the next order.
+constexpr absl::Duration kRecentPing = absl::Milliseconds(100);
+
 // A connection without an answer for this long is closed: three ping intervals
 // and the round trip to another region (24 ms).
 constexpr absl::Duration kPongTimeout = absl::Milliseconds(1300);
@@ -148,6 +152,13 @@
     this->Ping(vm, &found->second);
 }
 
+void PlannerNodes::PingUnlessRecent(const std::string& vm) {
+  const auto found = this->nodes.find(vm);
+  if (found != this->nodes.end() && found->second.answered &&
+      BootClock().Now() - found->second.last_ping_sent >= kRecentPing)
+    this->Ping(vm, &found->second);
+}
+
 Status PlannerNodes::OnFrame(const std::string& vm, std::string_view payload) {
   BOOST_OUTCOME_TRY(message, DecodeFleetMessage(payload));
   Node& node = this->nodes.at(vm);
--- a/fleet/planner_nodes.h
+++ b/fleet/planner_nodes.h
@@ -64,6 +64,9 @@
   // Sends a ping, with a grant if one may be made, to a node that has answered.
   void PingNow(const std::string& vm);
 
+  // As PingNow(), unless a ping was sent to the node a short time ago.
+  void PingUnlessRecent(const std::string& vm);
+
   // Returns true if the node was added.
   bool Contains(const std::string& vm) const {
     return this->nodes.contains(vm);
--- a/fleet/testing/fleet_planner_test.cc
+++ b/fleet/testing/fleet_planner_test.cc
@@ -43,6 +43,7 @@
                 this->confirmed = ends->last_number;
             },
             [this](const PlannerPing& ping) {
+              ++this->pings;
               this->grants += ping.grant_ms > 0 ? 1 : 0;
               this->evacuations = ping.evacuated_domains;
             }) {
@@ -90,6 +91,10 @@
     return this->process.Call([this] { return this->grants; });
   }
 
+  int Pings() {
+    return this->process.Call([this] { return this->pings; });
+  }
+
   // The evacuated failure domains, by the last ping.
   EvacuatedDomains Evacuations() {
     return this->process.Call([this] { return this->evacuations; });
@@ -110,6 +115,7 @@
   WorkerNotice notice;
   bool reports = false;
   int connections = 0;
+  int pings = 0;
   int grants = 0;
   EvacuatedDomains evacuations;
   uint64_t confirmed = 0;
@@ -426,5 +432,34 @@
   EXPECT_EQ(first.Starts().size(), 1u);
 }
 
+// Guards against a ping and its answer for each of many starts that an agent
+// refuses together: a planner that is short of processor time would fall behind
+// further, and its next orders expire as well.
+TEST_F(FleetPlannerTest, StartsRefusedTogetherCauseOnePing) {
+  const Settings settings = this->CommonSettings("agent-1");
+  ReportingAgent agent(settings, &this->log);
+  agent.Report(agent.Notice());
+  this->AddNode(settings);
+  this->AddSubmission(kSubmissionId);
+  this->StartPlanner();
+  ASSERT_TRUE(this->RunUntil([&] { return agent.Starts().size() == 1; }));
+  const RunOrder order = agent.Starts().front();
+  const std::vector<FleetMessage> refusals(
+      100, StartRefused{order.task, order.run,
+                        static_cast<uint8_t>(StartOutcome::kExpired)});
+  // The last regular ping is neither recent nor due again.
+  const int first_pings = agent.Pings();
+  ASSERT_TRUE(this->RunUntil([&] { return agent.Pings() > first_pings; }));
+  this->RunFor(absl::Milliseconds(150));
+  const int pings_before = agent.Pings();
+  agent.Send(refusals);
+  // The task starts again after the refusals.
+  ASSERT_TRUE(this->RunUntil([&] { return agent.Starts().size() == 2; }));
+  const int pings = agent.Pings() - pings_before;
+  EXPECT_GE(pings, 1);
+  // The regular pings go on meanwhile.
+  EXPECT_LE(pings, 5);
+}
+
 }  // namespace
 }  // namespace cuminjunction
