--- a/fleet/fleet_planner_requests.cc
+++ b/fleet/fleet_planner_requests.cc
@@ -11,7 +11,7 @@
 
 namespace {
 
-// Timeout of a commit for an entry, which waits no longer than 700 ms.
+// Timeout of a commit for an entry, which waits for 2.7 s (kRelayTimeout).
 constexpr absl::Duration kCommitForEntry = absl::Milliseconds(2500);
 
 // Interval of the reads of the fences. The table is nearly always empty, so the
