Send commits past transactions whose answers are probably lost

Three transactions on silent connections kept all commits of a process waiting for up to 2.5 s, although reads were answered again. Transactions that were sent before a call that was answered within 150 ms no longer count among the three; at most six are under way.

AReadReleasesCommitsBehindSilentTransactions failed before (not stored within 600 ms) and passes.

--- a/fleet/commit_batcher.cc
+++ b/fleet/commit_batcher.cc
@@ -32,6 +32,12 @@
 constexpr absl::Duration kOverlapAfter = absl::Milliseconds(500);
 constexpr size_t kMaxBatches = 3;
 
+// The same with those that were sent before a call that was answered fast:
+// their answers are probably lost, and do not keep others from being sent. The
+// feeds and the planner's commits need the rest of the 16 connections to the
+// store.
+constexpr size_t kMaxBatchesInAll = 6;
+
 }  // namespace
 
 CommitBatcher::CommitBatcher(boost::asio::io_context* context, Store* store)
@@ -63,11 +69,25 @@
 }
 
 void CommitBatcher::RecordLatency(absl::Duration latency) {
+  this->NoteLatency(latency, /*answered=*/true);
+  this->SendNext();
+  this->SetTimer();
+}
+
+void CommitBatcher::NoteLatency(absl::Duration latency, bool answered) {
   this->last_was_slow = latency > kSlowThreshold;
+  if (answered && !this->last_was_slow)
+    this->fast_answer_sent =
+        std::max(this->fast_answer_sent, BootClock().Now() - latency);
 }
 
 absl::Time CommitBatcher::NextSend() const {
-  if (this->waiting.empty() || this->batches.size() >= kMaxBatches)
+  const auto awaited = std::count_if(
+      this->batches.begin(), this->batches.end(), [this](const auto& entry) {
+        return entry.second.sent_at >= this->fast_answer_sent;
+      });
+  if (this->waiting.empty() || static_cast<size_t>(awaited) >= kMaxBatches ||
+      this->batches.size() >= kMaxBatchesInAll)
     return absl::InfiniteFuture();
   absl::Time next = this->last_refusal + kRefusalPause;
   for (const auto& [number, batch] : this->batches)
@@ -114,7 +134,8 @@
 void CommitBatcher::OnReply(uint64_t number, const CommitReply& reply) {
   const Batch batch = std::move(this->batches.extract(number).mapped());
   const absl::Time now = BootClock().Now();
-  this->RecordLatency(now - batch.sent_at);
+  this->NoteLatency(now - batch.sent_at,
+                    !reply.error || reply.error == PlatformError::kConflict);
   if (reply.error == PlatformError::kRefused)
     this->last_refusal = now;
   const bool conflict = reply.error == PlatformError::kConflict;
--- a/fleet/commit_batcher.h
+++ b/fleet/commit_batcher.h
@@ -50,7 +50,8 @@
   bool IsSlow(absl::Time now) const;
 
   // Records how long the store took for a read, which shows whether it is still
-  // slow while no transactions are sent.
+  // slow while no transactions are sent. After a fast answer, transactions that
+  // were sent before that read do not keep further ones from being sent.
   void RecordLatency(absl::Duration latency);
 
  private:
@@ -76,6 +77,8 @@
   absl::Time NextSend() const;
   // Sends the commits that wait if a transaction may be sent now.
   void SendNext();
+  // `answered` is false for a transaction that the store did not decide on.
+  void NoteLatency(absl::Duration latency, bool answered);
   void OnReply(uint64_t number, const CommitReply& reply);
   void Finish(Item* item, CommitReply&& reply);
   // Ends the commits whose deadline has passed, and sets the timer.
@@ -90,6 +93,8 @@
   std::map<uint64_t, Batch> batches;
   uint64_t next_batch = 1;
   bool last_was_slow = false;
+  // Send time of the latest call that was answered fast.
+  absl::Time fast_answer_sent = absl::InfinitePast();
   absl::Time last_refusal = absl::InfinitePast();
   // False once this object is destroyed.
   std::shared_ptr<bool> active = std::make_shared<bool>(true);
--- a/fleet/testing/commit_batcher_test.cc
+++ b/fleet/testing/commit_batcher_test.cc
@@ -226,6 +226,27 @@
   EXPECT_LT(absl::Now() - start, absl::Milliseconds(1000));
 }
 
+// Guards against commits that wait for the timeout of transactions whose
+// connections have gone silent, although a read has shown that the store
+// answers.
+TEST_F(CommitBatcherTest, AReadReleasesCommitsBehindSilentTransactions) {
+  this->standin->SetReplyDelay(absl::Milliseconds(2300));
+  this->Commit("a");
+  this->RunFor(absl::Milliseconds(520));
+  this->Commit("b");
+  this->RunFor(absl::Milliseconds(520));
+  this->Commit("c");
+  this->RunFor(absl::Milliseconds(520));
+  this->standin->SetReplyDelay(absl::ZeroDuration());
+  this->Commit("d", absl::Milliseconds(600));
+  this->RunFor(absl::Milliseconds(20));
+  EXPECT_EQ(this->Version("d"), 0);
+  this->batcher.RecordLatency(absl::Milliseconds(4));
+  this->WaitForReplies(1);
+  EXPECT_FALSE(this->replies["d"].error);
+  EXPECT_GT(this->Version("d"), 0);
+}
+
 // Guards against a timer that wakes an entry with 0.12 of a core a thousand
 // times a second, while an overdue transaction and a recent one are under way.
 TEST_F(CommitBatcherTest, WaitingForAnOverdueTransactionTakesFewWakeups) {
