Keep the last fence of a test from being carried out before the retry

DefiniteOutcomesTest.AFenceWithoutAnAnswerRefusesNothing failed in 1 of 60 runs: the entry's last fence was on its way when the 504 was read, and arrived after the stand-in had stopped keeping writes. A fence that is carried out before the retry stays, which is allowed.

--- a/fleet/testing/definite_outcomes_test.cc
+++ b/fleet/testing/definite_outcomes_test.cc
@@ -144,6 +144,9 @@
                        "GET", "/metrics")
                 .body.find("submissions_unknown_total{cause=\"store_slow\"} 1"),
             std::string::npos);
+  // The last fence may have been sent just before the answer. It has to be kept
+  // as well, or it is carried out before the retry, whose write leaves it.
+  absl::SleepFor(absl::Milliseconds(300));
   this->store->KeepNextWrites(kSubmissionTable, 0);
   EXPECT_EQ(this->Submit().get().status, 200);
   const int64_t version =
--- a/submission/evacuation_moves.h
+++ b/submission/evacuation_moves.h
@@ -30,8 +30,9 @@
 namespace cuminjunction {
 
 // Time from the order of a start until the task works: an agent delivers a
-// start within a quarter of the bound of an evacuation (1.25 s) or not at all, a
-// call to the runner takes up to 0.8 s, and tasks take up to 1.6 s to start up.
+// start within a quarter of the bound of an evacuation (1.25 s) or not at all,
+// a call to the runner takes up to 0.8 s, and tasks take up to 1.6 s to start
+// up.
 inline constexpr absl::Duration kStartUpTime = absl::Milliseconds(3700);
 
 // A run that a worker reports after a takeover counts as unavailable for this
