--- a/review/lib-3/deployment.py
+++ b/review/lib-3/deployment.py
@@ -73,6 +73,8 @@
     def __init__(self, case, entries=3, agents=7, cpu=16000, mem=62500, runner_options=None, cut_runner=None):
         """`cut_runner` is the index of a runner whose connections with its agent, in both
         directions, go through self.links."""
+        if not os.access(os.path.join(ROOT, DAEMON), os.X_OK):
+            raise CannotRun("the daemon of the deploy file is not built")
         self.case = os.path.abspath(case)
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.folder = tempfile.mkdtemp(prefix="cuminjunction-review-")
@@ -83,8 +85,6 @@
         self.policy_version = 0
         self.cut_runner, self.links = cut_runner, []
         self.runner_settings = {"cpu": cpu, "mem": mem, **(runner_options or {})}
-        if not os.access(os.path.join(ROOT, DAEMON), os.X_OK):
-            raise CannotRun("the daemon of the deploy file is not built")
         host = self.new_host()
         self.store_address = (host, free_port(host))
         self.store = Process("store", [sys.executable, os.path.join(LIB, "store.py"), host, str(self.store_address[1]), self.log],
