--- a/review/lib-3/deployment.py
+++ b/review/lib-3/deployment.py
@@ -260,6 +260,16 @@
                 break
         return status, state
 
+    def cancel(self, name, prefix="/plans/"):
+        """Cancels until an entry answers with other than 503 or 504, three times at most."""
+        for _ in range(3):
+            asked = random.choice([e for e in self.entries if e.running()])
+            status, _ = self.call(asked.host, asked.front, "DELETE", prefix + name)
+            self.note("cancel", who="client", id=name, entry=asked.name, status=status)
+            if status not in (None, 503, 504):
+                break
+        return status
+
     def wait_state(self, name, wanted, seconds, prefix="/plans/"):
         deadline = time.monotonic() + seconds
         while time.monotonic() < deadline:
--- a/review/lib-3/runner.py
+++ b/review/lib-3/runner.py
@@ -3,7 +3,7 @@
   runner.py '{"host":..., "port":..., "beats":"HOST:PORT", "id":..., ...}'
 
 The text of a task says how it behaves, as JSON: `ms` is its run time, `cpu` and
-`mem` its size, `saves` whether it has checkpoints, `fails` in how many of its
+`mem` its size, `saves` whether it has checkpoints, `tail` its tail latency, `fails` in how many of its
 first runs on this deployment it fails. A run of a task that lasts has `ms` 0.
 Starts and ends are appended to the log, one JSON line each.
 """
@@ -144,7 +144,8 @@
         for run in self.runs.values():
             ms = run.behaviour.get("ms", 0)
             percent = 100 if ms == 0 else min(99, 100 * run.worked_ms() // ms)
-            rows.append([run.task, run.run, run.saved(), percent, run.behaviour.get("cpu", 0)])
+            figure = run.behaviour.get("tail", run.behaviour.get("cpu", 0))
+            rows.append([run.task, run.run, run.saved(), percent, figure])
         return self.answer(200, runningCount=rows, ended=self.ends[:MAX_LISTED_ENDS])
 
     def handle(self, method, path, headers, body):
