--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,4 +1,4 @@
-"""A runner leaves as planned and starts again under its id. Its word that it
+"""One runner of 16 leaves as planned and starts again under its id. Its word that it
 leaves is held up by a cut of the runner and arrives after the new lifetime has
 been heard."""
 
@@ -10,14 +10,14 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib-3"))
 from deployment import BOUNDS, CannotRun, Deployment, main
 
-RUNNER = 6
+RUNNER = 15
 CUT_S = 5.0
 LATE_S = 2.5
 LABEL = "licensed"
 
 
 def run(case):
-    with Deployment(case, entries=3, agents=7, cut_runner=RUNNER) as fleet:
+    with Deployment(case, entries=3, agents=16, cut_runner=RUNNER) as fleet:
         runner = fleet.runners[RUNNER]
         runner.options["labels"] = runner.options["labels"] + [LABEL]
         fleet.set_command(runner)
--- a/review/lib-3/deployment.py
+++ b/review/lib-3/deployment.py
@@ -31,9 +31,9 @@
 DAEMON = "target/cuminjunctiond"
 HOST = "shop.example"
 
-# Bounds of the site file lakeshore-pack.toml.
-BOUNDS = {"maxHoldMs": 10000, "graceS": 6, "status_s": 120, "contactMs": 4000, "recoveryS": 12, "finish_s": 14,
-          "visible_ms": 3000, "cancel_ms": 3000, "drainMs": 2500}
+# Bounds of the site file bai-kocaeli-grown.toml.
+BOUNDS = {"maxHoldMs": 10000, "graceS": 6, "status_s": 120, "contactMs": 4000, "recoveryS": 15, "finish_s": 14,
+          "drainMs": 4000, "evacuateMs": 5000}
 HEARTBEAT_S = 1.5
 
 
@@ -76,7 +76,7 @@
         if not os.access(os.path.join(ROOT, DAEMON), os.X_OK):
             raise CannotRun("the daemon of the deploy file is not built")
         self.case = os.path.abspath(case)
-        self.trouble = os.environ.get("TROUBLE", "1") != "0"
+        self.trouble = sys.argv[1:] != ["--without-disruption"]
         self.folder = tempfile.mkdtemp(prefix="cuminjunction-review-")
         self.lines, self.lock = [], threading.Lock()
         self.log = os.path.join(self.folder, "standins.log")
@@ -111,7 +111,7 @@
             process.front, process.ready = free_port(host), free_port(host)
             lines += ['  submissions: "%s:%d"' % (host, process.front), '  ready: "%s:%d"' % (host, process.ready),
                       "  stop_grace_ms: %d000" % BOUNDS["graceS"], "  state_retention_ms: %d000" % BOUNDS["status_s"],
-                      "  processor_share: 0.25"]
+                      "  processor_share: 0.12"]
         else:
             process.beats, process.app = free_port(host), free_port(host)
             runner_port = process.app
@@ -119,7 +119,8 @@
                 self.links = [Link(host, (host, process.app)), Link(host, (host, process.beats))]
                 runner_port = self.links[0].port
             lines += ['  heartbeats: "%s:%d"' % (host, process.beats), '  runner: "%s:%d"' % (host, runner_port)]
-        lines += ["  metrics_port: %d" % free_port(host), "  max_lease_ms: %d" % BOUNDS["maxHoldMs"]]
+        lines += ["  metrics_port: %d" % free_port(host), "  max_lease_ms: %d" % BOUNDS["maxHoldMs"],
+                  "  evacuate_ms: %d" % BOUNDS["evacuateMs"]]
         settings = os.path.join(self.folder, name + ".yaml")
         with open(settings, "w") as file:
             file.write("\n".join(lines) + "\n")
