Send messages longer than a frame in several frames

Cause: a sender put each message into one frame, and the reader closes the connection at a frame above 128 KiB. Each agent sends a new planner its estimates of all pairs of images; the planner closed the connection, connected again and got the same message. Reports, starts, stops and descriptions of runs have no bound either.

The tests LargeMessagesTest.ManyEstimatesDoNotCutOffAnAgent, .ManyEstimatesOfThePlannerReachAnAgent, .MessagesThatNameManyRunsArrive and FrameTest.AMessageLongerThanAFrameIsReadWhole failed before.

Change: a message takes as many frames as it needs, up to 16 MiB; the highest bit of a frame's length tells that the message goes on. The limit of the reader no longer depends on what a sender has to say, so no reconnect repeats the fault.

--- a/base/frame.cc
+++ b/base/frame.cc
@@ -1,6 +1,7 @@
 #include "base/frame.h"
 
 #include <boost/crc.hpp>
+#include <utility>
 
 namespace cuminjunction {
 
@@ -9,6 +10,9 @@
 constexpr size_t kHeaderBytes = 8;
 constexpr size_t kKeptCapacity = 64 * 1024;
 
+// Flag in the length of a frame: the message goes on in the next one.
+constexpr uint32_t kMoreFollows = uint32_t{1} << 31;
+
 void AppendUint32(uint32_t value, std::string* out) {
   for (int shift = 0; shift < 32; shift += 8)
     out->push_back(static_cast<char>(value >> shift));
@@ -21,12 +25,18 @@
   return value;
 }
 
+void AppendFrame(std::string_view payload, uint32_t flags, std::string* wire) {
+  AppendUint32(static_cast<uint32_t>(payload.size()) | flags, wire);
+  AppendUint32(Crc32(payload), wire);
+  wire->append(payload);
+}
+
 }  // namespace
 
 std::string_view ErrorTraits<FrameError>::Message(FrameError error) {
   switch (error) {
     case FrameError::kTooLong:
-      return "frame is longer than the limit";
+      return "frame or message is longer than the limit";
     case FrameError::kChecksum:
       return "frame checksum does not match";
   }
@@ -39,10 +49,12 @@
   return crc.checksum();
 }
 
-void AppendFrame(std::string_view payload, std::string* wire) {
-  AppendUint32(static_cast<uint32_t>(payload.size()), wire);
-  AppendUint32(Crc32(payload), wire);
-  wire->append(payload);
+void AppendMessageFrames(std::string_view message, std::string* wire) {
+  while (message.size() > kMaxFramePayload) {
+    AppendFrame(message.substr(0, kMaxFramePayload), kMoreFollows, wire);
+    message.remove_prefix(kMaxFramePayload);
+  }
+  AppendFrame(message, 0, wire);
 }
 
 void FrameReader::Append(std::string_view bytes) {
@@ -55,20 +67,33 @@
 }
 
 Result<std::optional<std::string_view>> FrameReader::Next() {
-  const std::string_view left =
-      std::string_view(this->buffer).substr(this->offset);
-  if (left.size() < kHeaderBytes)
-    return std::optional<std::string_view>();
-  const uint32_t size = ReadUint32(left);
-  if (size > kMaxFramePayload)
-    return FrameError::kTooLong;
-  if (left.size() < kHeaderBytes + size)
-    return std::optional<std::string_view>();
-  const std::string_view payload = left.substr(kHeaderBytes, size);
-  if (Crc32(payload) != ReadUint32(left.substr(4)))
-    return FrameError::kChecksum;
-  this->offset += kHeaderBytes + size;
-  return std::optional<std::string_view>(payload);
+  if (std::exchange(this->partial_returned, false))
+    this->partial = {};
+  for (;;) {
+    const std::string_view left =
+        std::string_view(this->buffer).substr(this->offset);
+    if (left.size() < kHeaderBytes)
+      return std::optional<std::string_view>();
+    const uint32_t length = ReadUint32(left);
+    const bool more_follows = (length & kMoreFollows) != 0;
+    const size_t size = length & ~kMoreFollows;
+    if (size > kMaxFramePayload ||
+        this->partial.size() + size > kMaxMessageBytes)
+      return FrameError::kTooLong;
+    if (left.size() < kHeaderBytes + size)
+      return std::optional<std::string_view>();
+    const std::string_view payload = left.substr(kHeaderBytes, size);
+    if (Crc32(payload) != ReadUint32(left.substr(4)))
+      return FrameError::kChecksum;
+    this->offset += kHeaderBytes + size;
+    if (!more_follows && this->partial.empty())
+      return std::optional<std::string_view>(payload);
+    this->partial.append(payload);
+    if (more_follows)
+      continue;
+    this->partial_returned = true;
+    return std::optional<std::string_view>(this->partial);
+  }
 }
 
 }  // namespace cuminjunction
--- a/base/frame.h
+++ b/base/frame.h
@@ -1,10 +1,12 @@
 #ifndef BASE_FRAME_H_
 #define BASE_FRAME_H_
 
-// Frames on a byte stream: length, CRC-32 of the payload, payload.
+// Messages on a byte stream. A message is sent in one or more frames: length,
+// CRC-32 of the payload, payload. The highest bit of the length is set in all
+// frames of a message but the last.
 //
 //   std::string wire;
-//   AppendFrame(payload, &wire);
+//   AppendMessageFrames(message, &wire);
 //
 //   FrameReader reader;
 //   reader.Append(received);
@@ -32,31 +34,37 @@
   static std::string_view Message(FrameError error);
 };
 
-// The longest payload of a frame, in bytes. Bodies travel in chunks of 64 KiB,
-// so only a header block comes near this.
+// The longest payload of a frame, in bytes.
 inline constexpr size_t kMaxFramePayload = 128 * 1024;
 
+// The longest message, in bytes. It bounds the memory of the receiver.
+inline constexpr size_t kMaxMessageBytes = 16 * 1024 * 1024;
+
 // CRC-32 (IEEE) of the bytes.
 uint32_t Crc32(std::string_view bytes);
 
-// Appends the frame of `payload` to `wire`. The payload must not exceed
-// kMaxFramePayload.
-void AppendFrame(std::string_view payload, std::string* wire);
+// Appends the frames of a message to `wire`. The message must not exceed
+// kMaxMessageBytes.
+void AppendMessageFrames(std::string_view message, std::string* wire);
 
-// Cuts a byte stream into frames. Not thread-safe.
+// Cuts a byte stream into messages. Not thread-safe.
 class FrameReader {
  public:
   // Adds bytes that were received.
   void Append(std::string_view bytes);
 
-  // The payload of the next whole frame, nullopt when more bytes are needed,
-  // or an error after which the stream can't be read further. The view is
-  // valid until the next call of Append().
+  // The next whole message, nullopt when more bytes are needed, or an error
+  // after which the stream can't be read further. The view is valid until the
+  // next call of a method.
   Result<std::optional<std::string_view>> Next();
 
  private:
   std::string buffer;
   size_t offset = 0;
+  // Payloads of the frames so far of a message that takes several.
+  std::string partial;
+  // `partial` holds a whole message, which was returned by Next().
+  bool partial_returned = false;
 };
 
 }  // namespace cuminjunction
--- a/base/frame_link.cc
+++ b/base/frame_link.cc
@@ -52,7 +52,11 @@
 void FrameLink::Send(std::string_view payload) {
   if (this->closed)
     return;
-  AppendFrame(payload, &this->queued);
+  if (payload.size() > kMaxMessageBytes) {
+    this->Fail(make_error_code(FrameError::kTooLong));
+    return;
+  }
+  AppendMessageFrames(payload, &this->queued);
   if (this->queued.size() > kMaxQueuedBytes)
     this->Fail(std::make_error_code(std::errc::no_buffer_space));
   else
--- a/base/frame_link.h
+++ b/base/frame_link.h
@@ -1,7 +1,7 @@
 #ifndef BASE_FRAME_LINK_H_
 #define BASE_FRAME_LINK_H_
 
-// One TCP connection that carries frames (base/frame.h) in both directions.
+// One TCP connection that carries messages (base/frame.h) in both directions.
 //
 //   auto link = std::make_shared<FrameLink>(std::move(socket), FrameHandlers{
 //       .on_frame = [](std::string_view payload) { return Use(payload); },
@@ -9,7 +9,7 @@
 //   link->Open();
 //   link->Send(payload);
 //
-// Frames that are sent during one turn of the event loop go out in one write.
+// Messages that are sent during one turn of the event loop go out in one write.
 // What is queued is lost when the connection breaks; senders repeat what
 // matters. All calls are made on the event thread of the socket.
 
@@ -30,7 +30,7 @@
 struct FrameHandlers {
   // The connection has been made, on the side that called Connect().
   std::function<void()> on_open;
-  // One payload. An error closes the connection.
+  // One message. An error closes the connection.
   std::function<Status(std::string_view payload)> on_frame;
   // The connection has ended for this reason. Called at most once and not
   // after Close().
@@ -47,7 +47,8 @@
   // Starts to use a connection that stands.
   void Open();
 
-  // Queues a frame. A peer that does not read is cut off.
+  // Queues a message. A peer that does not read is cut off, and so is one to
+  // which a message longer than kMaxMessageBytes is sent.
   void Send(std::string_view payload);
 
   // Ends the connection without a call of the handlers.
--- a/base/testing/codec_test.cc
+++ b/base/testing/codec_test.cc
@@ -57,9 +57,9 @@
 
 TEST(FrameTest, CutsAStreamThatArrivesByteByByte) {
   std::string wire;
-  AppendFrame("first", &wire);
-  AppendFrame("", &wire);
-  AppendFrame("third", &wire);
+  AppendMessageFrames("first", &wire);
+  AppendMessageFrames("", &wire);
+  AppendMessageFrames("third", &wire);
   FrameReader reader;
   std::vector<std::string> payloads;
   for (const char byte : wire) {
@@ -78,7 +78,7 @@
 // Guards against a flipped byte being taken for a message.
 TEST(FrameTest, FlippedPayloadByteIsAnError) {
   std::string wire;
-  AppendFrame("payload", &wire);
+  AppendMessageFrames("payload", &wire);
   wire.back() ^= 1;
   FrameReader reader;
   reader.Append(wire);
@@ -92,5 +92,44 @@
   EXPECT_EQ(reader.Next().error(), FrameError::kTooLong);
 }
 
+// Guards against a message of endless parts making the reader buffer without
+// limit.
+TEST(FrameTest, AMessageAboveTheLimitIsAnError) {
+  std::string wire;
+  AppendMessageFrames(std::string(kMaxMessageBytes + 1, 'x'), &wire);
+  FrameReader reader;
+  reader.Append(wire);
+  EXPECT_EQ(reader.Next().error(), FrameError::kTooLong);
+}
+
+// Guards against a peer that closes the connection at a message longer than a
+// frame (review/11).
+TEST(FrameTest, AMessageLongerThanAFrameIsReadWhole) {
+  for (const size_t size :
+       {kMaxFramePayload, kMaxFramePayload + 1, 5 * kMaxFramePayload}) {
+    std::string message(size, 'x');
+    message.back() = 'y';
+    std::string wire;
+    AppendMessageFrames(message, &wire);
+    AppendMessageFrames("next", &wire);
+    FrameReader reader;
+    std::vector<std::string> payloads;
+    constexpr size_t kReadBytes = 16384;
+    for (size_t begin = 0; begin < wire.size(); begin += kReadBytes) {
+      reader.Append(std::string_view(wire).substr(begin, kReadBytes));
+      for (;;) {
+        const auto next = reader.Next();
+        ASSERT_TRUE(next);
+        if (!next.value())
+          break;
+        payloads.emplace_back(*next.value());
+      }
+    }
+    ASSERT_EQ(payloads.size(), 2u);
+    EXPECT_EQ(payloads[0], message);
+    EXPECT_EQ(payloads[1], "next");
+  }
+}
+
 }  // namespace
 }  // namespace cuminjunction
--- /dev/null
+++ b/fleet/testing/large_messages_test.cc
@@ -0,0 +1,132 @@
+// Tests of messages between a planner and an agent that are longer than a
+// frame.
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "fleet/testing/fleet_fixture.h"
+#include "fleet/testing/port_process.h"
+#include "fleet/testing/script_planner.h"
+
+namespace cuminjunction {
+namespace {
+
+constexpr uint64_t kEpoch = 100;
+
+// As in review/11: 44 serving and 22 filling images, named by their digests.
+constexpr int kServingImages = 44;
+constexpr int kFillingImages = 22;
+
+std::string ImageName(const std::string& kind, int number) {
+  return StrCat("registry.example/", kind, "-", number,
+                "@sha256:", std::string(64, 'f'));
+}
+
+std::vector<InterferenceEstimate> ManyEstimates() {
+  std::vector<InterferenceEstimate> estimates;
+  for (int serving = 0; serving < kServingImages; ++serving) {
+    for (int filling = 0; filling < kFillingImages; ++filling)
+      estimates.push_back({ImageName("serving", serving),
+                           ImageName("filling", filling), 3, 0.5});
+  }
+  return estimates;
+}
+
+// A request that an agent without an adviser answers at once, after all earlier
+// messages.
+PermitRequest Probe(uint64_t epoch) {
+  PermitRequest probe;
+  probe.epoch = epoch;
+  probe.number = 1;
+  return probe;
+}
+
+class LargeMessagesTest : public OneAgentTest {
+ protected:
+  // Starts an agent that knows the estimates, which an earlier planner has sent
+  // in parts.
+  void StartAgentWithEstimates() {
+    this->StartRunner(absl::Milliseconds(50));
+    this->StartAgent();
+    ScriptPlanner planner(this->Address(), kEpoch);
+    ASSERT_TRUE(planner.WaitFor<NodePong>());
+    for (const InterferenceEstimate& estimate : ManyEstimates())
+      planner.Send(InterferenceNotice{kEpoch, {estimate}});
+    planner.Send(Probe(kEpoch));
+    ASSERT_TRUE(planner.WaitFor<PermitAnswer>());
+  }
+
+  Endpoint Address() const {
+    return PortProcess::Address(this->agent_settings);
+  }
+};
+
+// Guards against VMs that get no work any more (review/11): an agent sent each
+// new planner more estimates than a frame may hold, and the planner closed the
+// connection.
+TEST_F(LargeMessagesTest, ManyEstimatesDoNotCutOffAnAgent) {
+  this->StartAgentWithEstimates();
+  ScriptPlanner next(this->Address(), kEpoch + 1);
+  const auto notice = next.WaitFor<InterferenceNotice>();
+  ASSERT_TRUE(notice);
+  EXPECT_FALSE(notice->pairs.empty());
+  next.Send(Probe(kEpoch + 1));
+  EXPECT_TRUE(next.WaitFor<PermitAnswer>());
+}
+
+// Guards against an agent that is cut off by the planner's estimates for the
+// images on its VM (review/REPORT-3.md, more on case 11).
+TEST_F(LargeMessagesTest, ManyEstimatesOfThePlannerReachAnAgent) {
+  this->StartRunner(absl::Milliseconds(50));
+  this->StartAgent();
+  ScriptPlanner planner(this->Address(), kEpoch);
+  ASSERT_TRUE(planner.WaitFor<NodePong>());
+  planner.Send(InterferenceNotice{kEpoch, ManyEstimates()});
+  planner.Send(Probe(kEpoch));
+  EXPECT_TRUE(planner.WaitFor<PermitAnswer>());
+}
+
+// Guards against an agent that is cut off by messages that name each run of its
+// VM: the planner's starts and stops, and the agent's report to the next
+// planner (review/10 with crashed runs).
+TEST_F(LargeMessagesTest, MessagesThatNameManyRunsArrive) {
+  constexpr int kRuns = 6000;
+  constexpr absl::Duration kGrant = absl::Minutes(10);
+  this->StartRunner(absl::Hours(1));
+  this->StartAgent();
+  ScriptPlanner planner(this->Address(), kEpoch);
+  ASSERT_TRUE(this->WaitUntil([&] {
+    const auto report = planner.WaitFor<WorkerNotice>();
+    return report && report->alive;
+  }));
+  planner.SetPing({}, kGrant);
+  StartRuns starts;
+  starts.epoch = kEpoch;
+  starts.number = 1;
+  starts.born_ms = this->runner->BornMs();
+  starts.echoed_timestamp_us = planner.TimestampUs();
+  starts.texts = {"text"};
+  StopRuns stops;
+  stops.epoch = kEpoch + 1;
+  for (uint32_t index = 0; index < kRuns; ++index) {
+    RunOrder order;
+    order.task = {kSubmissionId, 0, 0, index};
+    order.run = 1;
+    starts.runs.push_back(order);
+    stops.runs.push_back({order.task, order.run});
+  }
+  planner.Send(starts);
+  ASSERT_TRUE(
+      this->WaitUntil([this] { return this->ledger.Running() == kRuns; }));
+  ScriptPlanner next(this->Address(), kEpoch + 1);
+  const auto report = next.WaitFor<WorkerNotice>();
+  ASSERT_TRUE(report);
+  EXPECT_EQ(report->running.size(), size_t{kRuns});
+  next.SetPing({}, kGrant);
+  next.Send(stops);
+  EXPECT_TRUE(this->WaitUntil([this] { return this->ledger.Running() == 0; }));
+}
+
+}  // namespace
+}  // namespace cuminjunction
--- a/fuzz/frame_fuzz.cc
+++ b/fuzz/frame_fuzz.cc
@@ -26,7 +26,7 @@
   const std::string_view sent =
       bytes.substr(0, cuminjunction::kMaxFramePayload);
   std::string wire;
-  cuminjunction::AppendFrame(sent, &wire);
+  cuminjunction::AppendMessageFrames(sent, &wire);
   cuminjunction::FrameReader second;
   second.Append(wire);
   const auto payload = second.Next();
--- a/request/link.cc
+++ b/request/link.cc
@@ -140,7 +140,7 @@
         AnswerChunk{body->id, last, body->bytes->substr(body->offset, size)},
         &this->scratch);
   }
-  AppendFrame(this->scratch, &this->writing);
+  AppendMessageFrames(this->scratch, &this->writing);
   body->offset += size;
   this->body_bytes -= size;
 }
--- a/request/link.h
+++ b/request/link.h
@@ -64,7 +64,7 @@
     const uint64_t position = this->written_position + this->queued.size();
     this->scratch.clear();
     AppendMessage(message, &this->scratch);
-    AppendFrame(this->scratch, &this->queued);
+    AppendMessageFrames(this->scratch, &this->queued);
     this->ScheduleFlush();
     return position;
   }
--- a/request/testing/agent_test.cc
+++ b/request/testing/agent_test.cc
@@ -268,7 +268,7 @@
 
 std::string EncodeFrame(const std::string& payload) {
   std::string wire;
-  AppendFrame(payload, &wire);
+  AppendMessageFrames(payload, &wire);
   return wire;
 }
 
--- a/request/testing/entry_test.cc
+++ b/request/testing/entry_test.cc
@@ -188,7 +188,7 @@
     std::string payload;
     AppendMessage(Hello{kProtocolVersion, "stalled", 1}, &payload);
     std::string wire;
-    AppendFrame(payload, &wire);
+    AppendMessageFrames(payload, &wire);
     boost::asio::write(socket, boost::asio::buffer(wire));
     return socket;
   });
