Plan a gang in work proportional to its members

Calls got no answer while the entry planned.

Cause: StartGang() counted the placed members anew for each member and evaluated all VMs for each, in each plan, also for a gang without room. The plan runs on the thread that renews the lease and answers callers.

Change: the room of all VMs is summed up first, and a gang without room is left alone. The placed members are counted once, and VMs are found by PlacementSearch. A plan whose work is linear no longer outlasts the lease.

--- a/submission/place.cc
+++ b/submission/place.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 #include "submission/evacuation.h"
 
@@ -58,6 +59,16 @@
              : worker.held_for_moves;
 }
 
+// Capacity of the VM that the step's tasks may use.
+Size UsableCapacity(const Step& step,
+                    const PlacementContext& context,
+                    const Worker& worker,
+                    absl::Time now) {
+  const Size free_capacity =
+      step.fills ? FillingCapacity(worker, now) : FreeCapacity(worker, now);
+  return free_capacity - ReservedCapacity(step, context, worker, now);
+}
+
 PlacementObstacle FindEligibilityObstacle(const Step& step,
                                           const PlacementContext& context,
                                           const Worker& worker,
@@ -157,6 +168,27 @@
   return offered - worker.used;
 }
 
+uint32_t CountRoom(const Step& step,
+                   const PlacementContext& context,
+                   const Worker& worker,
+                   absl::Time now,
+                   uint32_t limit) {
+  const Size usable = UsableCapacity(step, context, worker, now);
+  int64_t count = limit;
+  for (const auto& [needed, available] :
+       {std::pair(step.size.millicores, usable.millicores),
+        std::pair(step.size.memory_mib, usable.memory_mib),
+        std::pair(step.size.accelerators, usable.accelerators)}) {
+    if (available < needed)
+      return 0;
+    if (needed > 0)
+      count = std::min(count, available / needed);
+  }
+  if (step.max_per_vm != 0)
+    count = std::min(count, int64_t{step.max_per_vm} - context.same_step);
+  return static_cast<uint32_t>(std::max<int64_t>(0, count));
+}
+
 bool IsEligible(const Step& step,
                 const PlacementContext& context,
                 const Worker& worker,
@@ -178,8 +210,7 @@
       step.fills ? FillingCapacity(worker, now) : FreeCapacity(worker, now);
   if (!Fits(step.size, free_capacity))
     return PlacementObstacle::kNoCapacity;
-  if (!Fits(step.size,
-            free_capacity - ReservedCapacity(step, context, worker, now)))
+  if (!Fits(step.size, UsableCapacity(step, context, worker, now)))
     return PlacementObstacle::kReserved;
   if (step.fills && context.can_wait &&
       ExcessLatencyRatio(step, worker, interference_model,
@@ -195,10 +226,7 @@
                                     absl::Time now) {
   if (!IsEligible(step, context, worker, now))
     return std::nullopt;
-  const Size free_capacity =
-      step.fills ? FillingCapacity(worker, now) : FreeCapacity(worker, now);
-  if (!Fits(step.size,
-            free_capacity - ReservedCapacity(step, context, worker, now)))
+  if (!Fits(step.size, UsableCapacity(step, context, worker, now)))
     return std::nullopt;
   const double excess_ratio = ExcessLatencyRatio(
       step, worker, interference_model, /*already_running=*/false);
--- a/submission/place.h
+++ b/submission/place.h
@@ -116,6 +116,14 @@
                             absl::Time now,
                             Worker* worker);
 
+// Returns how many more tasks of the step the VM has room for, at most `limit`.
+// Takes no account of eligibility and interference.
+uint32_t CountRoom(const Step& step,
+                   const PlacementContext& context,
+                   const Worker& worker,
+                   absl::Time now,
+                   uint32_t limit);
+
 // By how much the highest expected latency ratio on the VM would exceed
 // kMaxPlacementLatencyRatio with one more task of the step, or 0. Set
 // `already_running` for a filling task that runs there, so that it is not
--- a/submission/scheduler.h
+++ b/submission/scheduler.h
@@ -305,7 +305,16 @@
                  UnplaceableShapes* unplaceable,
                  Orders* orders,
                  absl::Time now);
-  void StartGang(StepCandidate* candidate, Orders* orders, absl::Time now);
+  // Starts all tasks of the step, or none.
+  void StartGang(StepCandidate* candidate,
+                 const WorkerOrder& order,
+                 Orders* orders,
+                 absl::Time now);
+  // Returns false if the VMs together lack room for all tasks of the step.
+  bool HasRoomForGang(const StepCandidate& candidate,
+                      PlacementContext context,
+                      Orders* orders,
+                      absl::Time now);
   // Computes the worker's latency outlooks unless this plan has done so.
   void RefreshOutlooks(Worker* worker, absl::Time now);
   // Adds the tasks of a ready step to QueuedWork::blocking_work.
@@ -326,13 +335,9 @@
                                  Worker* worker,
                                  Orders* orders,
                                  absl::Time now);
-  // Recounts the placed tasks of the candidate's step by VM.
-  void CountPlaced(StepCandidate* candidate);
-  Worker* ChooseWorker(const StepCandidate& candidate,
-                       const TaskSlot& slot,
-                       absl::Time now,
-                       double* cost,
-                       Orders* orders);
+  // Counts the placed tasks of the candidate's step by VM. PlaceCandidate()
+  // keeps the counts up to date.
+  void CountPlaced(StepCandidate* candidate, Orders* orders);
   void AddHeldTasks(const ActiveSubmission& active,
                     const StepRef& step_ref,
                     absl::Time now,
@@ -362,6 +367,19 @@
                                                         absl::Time now);
   void Preempt(const StepCandidate& candidate, Orders* orders, absl::Time now);
   bool MayStart(const TaskSlot& slot, absl::Time now) const;
+  // Places a task of the candidate's step on the worker.
+  void PlaceCandidate(StepCandidate* candidate,
+                      uint32_t index,
+                      Worker* worker,
+                      uint32_t run,
+                      absl::Time now);
+  // Appends the order to start a task that has been placed.
+  void AppendStart(const StepCandidate& candidate,
+                   uint32_t index,
+                   const Worker& worker,
+                   double cost,
+                   Orders* orders,
+                   absl::Time now);
   void OrderStart(StepCandidate* candidate,
                   uint32_t index,
                   Worker* worker,
--- a/submission/scheduler_plan.cc
+++ b/submission/scheduler_plan.cc
@@ -60,7 +60,7 @@
       return orders;
     }
     if (candidate.Spec().gang) {
-      this->StartGang(&candidate, &orders, now);
+      this->StartGang(&candidate, order, &orders, now);
       order.Reset(by_name);
     } else {
       this->StartStep(&candidate, &order, &unplaceable, &orders, now);
@@ -119,7 +119,8 @@
          slot.stale_runs == 0 && (slot.resolved || this->unresolved.empty());
 }
 
-void Scheduler::CountPlaced(StepCandidate* candidate) {
+void Scheduler::CountPlaced(StepCandidate* candidate, Orders* orders) {
+  orders->counted_tasks += candidate->Slots().tasks.size();
   candidate->same_step.clear();
   candidate->rack.clear();
   for (const TaskSlot& other : candidate->Slots().tasks) {
@@ -145,28 +146,6 @@
   return this->CostOn(worker, candidate.Spec(), *context, now);
 }
 
-Worker* Scheduler::ChooseWorker(const StepCandidate& candidate,
-                                const TaskSlot& slot,
-                                absl::Time now,
-                                double* cost,
-                                Orders* orders) {
-  PlacementContext context;
-  context.service = candidate.active->queue.service;
-  context.rack = candidate.rack;
-  context.can_wait = CanWait(candidate.Spec(), candidate.Slots(), now);
-  Worker* best = nullptr;
-  for (auto& [vm, worker] : this->workers) {
-    context.failed_here = slot.failed_vm == vm;
-    const auto found =
-        this->Evaluate(candidate, &context, worker.get(), orders, now);
-    if (found && (best == nullptr || *found < *cost)) {
-      best = worker.get();
-      *cost = *found;
-    }
-  }
-  return best;
-}
-
 void Scheduler::StartStep(StepCandidate* candidate,
                           WorkerOrder* order,
                           UnplaceableShapes* unplaceable,
@@ -200,7 +179,7 @@
     }
     const bool can_wait = CanWait(step, slots, now);
     if (IsSuspect(slot.crashes)) {
-      this->CountPlaced(candidate);
+      this->CountPlaced(candidate, orders);
       context.can_wait = can_wait;
       context.rack = candidate->rack;
       double cost = 0;
@@ -235,7 +214,7 @@
     if (!search || can_wait != context.can_wait ||
         candidate->rack != context.rack) {
       if (!search)
-        this->CountPlaced(candidate);
+        this->CountPlaced(candidate, orders);
       context.can_wait = can_wait;
       context.rack = candidate->rack;
       order->Reposition(changed);
@@ -255,16 +234,31 @@
                      choice->cost, orders, now);
     changed.push_back(choice->worker);
     search->OnPlaced(*choice, evaluate);
-    if (step.single_rack && candidate->rack.empty())
-      candidate->rack = RackOf(choice->worker->info);
   }
   order->Reposition(changed);
 }
 
+bool Scheduler::HasRoomForGang(const StepCandidate& candidate,
+                               PlacementContext context,
+                               Orders* orders,
+                               absl::Time now) {
+  auto missing = static_cast<uint32_t>(candidate.Slots().tasks.size());
+  for (auto& [vm, worker] : this->workers) {
+    if (!this->Evaluate(candidate, &context, worker.get(), orders, now))
+      continue;
+    missing -= CountRoom(candidate.Spec(), context, *worker, now, missing);
+    if (missing == 0)
+      return true;
+  }
+  return false;
+}
+
 void Scheduler::StartGang(StepCandidate* candidate,
+                          const WorkerOrder& order,
                           Orders* orders,
                           absl::Time now) {
   StepSlots& slots = candidate->Slots();
+  const Step& step = candidate->Spec();
   // All members of a gang start together, with one run number above all that
   // were used.
   uint32_t run = 0;
@@ -273,36 +267,89 @@
       return;
     run = std::max(run, slot.highest_run + 1);
   }
-  std::vector<std::pair<Worker*, double>> chosen;
-  std::vector<uint32_t> last_runs;
-  for (uint32_t index = 0; index < slots.tasks.size(); ++index) {
+  this->CountPlaced(candidate, orders);
+  PlacementContext context;
+  context.service = candidate->active->queue.service;
+  context.can_wait = CanWait(step, slots, now);
+  if (!this->HasRoomForGang(*candidate, context, orders, now))
+    return;
+  const auto evaluate = [&](Worker* worker) {
+    return this->Evaluate(*candidate, &context, worker, orders, now);
+  };
+  struct Member {
+    Worker* worker = nullptr;
     double cost = 0;
-    this->CountPlaced(candidate);
-    Worker* worker =
-        this->ChooseWorker(*candidate, slots.tasks[index], now, &cost, orders);
-    if (worker == nullptr)
+    uint32_t last_run = 0;
+  };
+  std::vector<Member> members;
+  members.reserve(slots.tasks.size());
+  std::optional<PlacementSearch> search;
+  for (uint32_t index = 0; index < slots.tasks.size(); ++index) {
+    // The costs of all VMs change when the step gets its rack.
+    if (!search || context.rack != candidate->rack) {
+      context.rack = candidate->rack;
+      search.emplace(&order,
+                     step.data_rack.empty() ? context.rack : step.data_rack,
+                     step.latency_objective_ms > 0);
+    }
+    const auto choice =
+        search->CheapestExcept(slots.tasks[index].failed_vm, evaluate);
+    if (!choice)
       break;
-    chosen.emplace_back(worker, cost);
-    last_runs.push_back(slots.tasks[index].highest_run);
-    // Placed provisionally, so that the next member is offered the remaining
-    // capacity.
-    this->Place(candidate->active, candidate->Task(index), &slots.tasks[index],
-                worker, run, now);
-  }
-  for (uint32_t index = 0; index < chosen.size(); ++index) {
-    const TaskRef task = candidate->Task(index);
-    Vacate(chosen[index].first, task);
-    this->Release(candidate->active, task, &slots.tasks[index]);
-    slots.tasks[index].highest_run = last_runs[index];
+    members.push_back(
+        {choice->worker, choice->cost, slots.tasks[index].highest_run});
+    this->PlaceCandidate(candidate, index, choice->worker, run, now);
+    search->OnPlaced(*choice, evaluate);
   }
-  if (chosen.size() < slots.tasks.size())
+  if (members.size() < slots.tasks.size()) {
+    for (uint32_t index = 0; index < members.size(); ++index) {
+      const TaskRef task = candidate->Task(index);
+      Vacate(members[index].worker, task);
+      this->Release(candidate->active, task, &slots.tasks[index]);
+      slots.tasks[index].highest_run = members[index].last_run;
+      members[index].worker->outlooks_plan = 0;
+    }
     return;
+  }
   // All members of a gang resume from the same checkpoint.
   const std::string checkpoint = slots.tasks.front().checkpoint;
-  for (uint32_t index = 0; index < chosen.size(); ++index) {
+  for (uint32_t index = 0; index < members.size(); ++index) {
     slots.tasks[index].checkpoint = checkpoint;
-    this->OrderStart(candidate, index, chosen[index].first, run,
-                     chosen[index].second, orders, now);
+    this->AppendStart(*candidate, index, *members[index].worker,
+                      members[index].cost, orders, now);
+  }
+}
+
+void Scheduler::PlaceCandidate(StepCandidate* candidate,
+                               uint32_t index,
+                               Worker* worker,
+                               uint32_t run,
+                               absl::Time now) {
+  this->Place(candidate->active, candidate->Task(index),
+              &candidate->Slots().tasks[index], worker, run, now);
+  worker->outlooks_plan = 0;
+  ++candidate->same_step[worker->vm];
+  if (candidate->Spec().single_rack && candidate->rack.empty())
+    candidate->rack = RackOf(worker->info);
+}
+
+void Scheduler::AppendStart(const StepCandidate& candidate,
+                            uint32_t index,
+                            const Worker& worker,
+                            double cost,
+                            Orders* orders,
+                            absl::Time now) {
+  ActiveSubmission* active = candidate.active;
+  const TaskSlot& slot = candidate.Slots().tasks[index];
+  orders->starts.push_back({worker.vm, candidate.Task(index), slot.run,
+                            &active->submission.text, &candidate.Spec(),
+                            slot.checkpoint,
+                            *this->TicketFor(*active, candidate.occurrence,
+                                             candidate.step, worker, now),
+                            candidate.Slots().ready_since, cost});
+  if (active->state == SubmissionState::kQueued) {
+    active->state = SubmissionState::kRunning;
+    this->changes.push_back({active->submission.id, active->state});
   }
 }
 
@@ -313,21 +360,8 @@
                            double cost,
                            Orders* orders,
                            absl::Time now) {
-  ActiveSubmission* active = candidate->active;
-  TaskSlot& slot = candidate->Slots().tasks[index];
-  const TaskRef task = candidate->Task(index);
-  this->Place(active, task, &slot, worker, run, now);
-  worker->outlooks_plan = 0;
-  ++candidate->same_step[worker->vm];
-  orders->starts.push_back({worker->vm, task, run, &active->submission.text,
-                            &candidate->Spec(), slot.checkpoint,
-                            *this->TicketFor(*active, candidate->occurrence,
-                                             candidate->step, *worker, now),
-                            candidate->Slots().ready_since, cost});
-  if (active->state == SubmissionState::kQueued) {
-    active->state = SubmissionState::kRunning;
-    this->changes.push_back({active->submission.id, active->state});
-  }
+  this->PlaceCandidate(candidate, index, worker, run, now);
+  this->AppendStart(*candidate, index, *worker, cost, orders, now);
 }
 
 bool Scheduler::FitsAfterIsolation(const StepCandidate& candidate,
@@ -428,7 +462,8 @@
   candidate.active = active;
   candidate.occurrence = task.occurrence;
   candidate.step = task.step;
-  this->CountPlaced(&candidate);
+  Orders unused;
+  this->CountPlaced(&candidate, &unused);
   PlacementContext context;
   context.service = active->queue.service;
   context.can_wait = CanWait(candidate.Spec(), candidate.Slots(), now);
