Tell by its birth which incarnation of a runner shuts down

Cause: the agent compared the id of a deregister call, but not born. The late call of an earlier incarnation with the same id set a flag that only the next incarnation reset, and the guard refused all starts.

Change: the guard keeps the incarnation that has announced its shutdown, so that the announcement of another one has no effect in any order of arrival. A call that names none counts until the runner says that it is ready.

--- a/fleet/fleet_agent.cc
+++ b/fleet/fleet_agent.cc
@@ -172,13 +172,7 @@
   if (call && call->kind == RunnerCallKind::kHeartbeat) {
     status = this->OnHeartbeat(call->runner, exchange->body);
   } else if (call) {
-    status = 200;
-    this->log->Write(LogLine("runner_left").Add("runner", call->runner));
-    if (call->runner == this->runner_info.runner) {
-      this->runner_info.draining = true;
-      this->guard->OnRunnerShutdown();
-      this->SendRunnerInfo();
-    }
+    status = this->OnShutdown(call->runner, exchange->body);
   }
   this->front->Answer(exchange, JsonReply(status, "{}"));
 }
@@ -203,6 +197,10 @@
     return 200;
   this->last_sequence = heartbeat.value().sequence;
   this->guard->SetIncarnationId(received.runner, received.born_ms);
+  // A runner that has announced its shutdown is never ready again, so an
+  // earlier one with the same id has.
+  if (!received.draining && std::exchange(this->unnamed_shutdown, false))
+    this->guard->CancelShutdown(received.born_ms);
   if (received == this->runner_info)
     return 200;
   this->log->Write(LogLine("runner_heard")
@@ -219,6 +217,34 @@
   return 200;
 }
 
+unsigned FleetAgent::OnShutdown(const std::string& runner_name,
+                                const std::string& body) {
+  const auto shutdown = ParseRunnerShutdown(body);
+  if (!shutdown) {
+    this->log->Write(LogLine("shutdown_refused", LogLevel::kWarning)
+                         .Add("runner", runner_name)
+                         .Add("error", shutdown.error()));
+    return 400;
+  }
+  const int64_t present = this->runner_info.born_ms;
+  const bool named = shutdown.value().born_ms != 0;
+  const int64_t leaving = named ? shutdown.value().born_ms : present;
+  this->log->Write(LogLine("runner_left")
+                       .Add("runner", runner_name)
+                       .Add("born_ms", shutdown.value().born_ms)
+                       .Add("present_born_ms", present));
+  // Another incarnation may have the same id.
+  if (runner_name != this->runner_info.runner)
+    return 200;
+  this->guard->OnRunnerShutdown(leaving);
+  if (leaving != present)
+    return 200;
+  this->unnamed_shutdown = !named;
+  this->runner_info.draining = true;
+  this->SendRunnerInfo();
+  return 200;
+}
+
 void FleetAgent::UpdateEvacuated() {
   EvacuatedDomains own;
   for (const std::string& domain :
--- a/fleet/fleet_agent.h
+++ b/fleet/fleet_agent.h
@@ -53,6 +53,8 @@
   void OnRunnerRequest(HttpExchange* exchange);
   // Returns the HTTP status of the answer.
   unsigned OnHeartbeat(const std::string& runner, const std::string& body);
+  // Returns the HTTP status of the answer.
+  unsigned OnShutdown(const std::string& runner, const std::string& body);
   void OnMessage(FleetMessage&& message);
   void OnPermitRequest(const PermitRequest& request);
   void OnPing(const PlannerPing& ping);
@@ -88,6 +90,8 @@
   // incarnation.
   RunnerInfo runner_info;
   int64_t last_sequence = 0;
+  // The runner has announced a shutdown without naming the incarnation.
+  bool unnamed_shutdown = false;
   // Submissions of which the runner has started a task; sent to the planner
   // when the timer expires.
   StartedNotice started_notice;
--- a/fleet/runner_guard.cc
+++ b/fleet/runner_guard.cc
@@ -195,7 +195,7 @@
     if (!this->silent_since)
       this->silent_since = now;
     // The incarnation has ended as announced, and its runs with it.
-    if (report.order.connection_refused && this->shutting_down &&
+    if (report.order.connection_refused && this->IsShuttingDown() &&
         now >= this->shutdown_deadline)
       this->lease_expiry = std::min(this->lease_expiry, now);
     this->CheckLeaseExpiry(now);
--- a/fleet/runner_guard.h
+++ b/fleet/runner_guard.h
@@ -130,11 +130,15 @@
   // renewed.
   void SetIncarnationId(const std::string& id, int64_t born_ms_of_id);
 
-  // Handles the runner's announcement that it is shutting down. It may live on
-  // for some seconds, and the announcement may be late and of an earlier
-  // incarnation with the same id, so the runs count until a refused connection
-  // or the expiry of the lease shows their end.
-  void OnRunnerShutdown();
+  // Handles the announcement of the incarnation `born_ms_of_leaving` that it is
+  // shutting down. It may live on for some seconds, so its runs count until a
+  // refused connection or the expiry of the lease shows their end. The
+  // announcement may arrive late: it has no effect on other incarnations.
+  void OnRunnerShutdown(int64_t born_ms_of_leaving);
+
+  // Withdraws that announcement: it was of another incarnation with the same
+  // id.
+  void CancelShutdown(int64_t born_ms_of_ready);
 
   // True once the runner has reported its runs, or every lease that an earlier
   // agent may have given it has expired.
@@ -154,7 +158,11 @@
   std::vector<RunnerCrash> Crashes() const;
 
   // The runner's present incarnation has announced its shutdown.
-  bool IsShuttingDown() const { return this->shutting_down; }
+  bool IsShuttingDown() const {
+    const int64_t present =
+        this->born_ms == 0 ? this->heard_born_ms : this->born_ms;
+    return present != 0 && this->shutdown_born_ms == present;
+  }
 
   // Start of the runner's present incarnation, by the runner; 0 before its
   // first answer.
@@ -269,7 +277,7 @@
   // Raises the fence above that of a call, which the runner has refused.
   void RaiseFenceAbove(int64_t refused_fence);
   bool IsDraining() const {
-    return this->shutting_down || this->draining_born_ms == this->born_ms;
+    return this->IsShuttingDown() || this->draining_born_ms == this->born_ms;
   }
   // Stops the runs from time to time while there is no grant, independently of
   // the calls that wait for an answer.
@@ -315,10 +323,10 @@
   std::vector<LostRun> expired_runs;
   // Crashes and when they were noticed, the oldest first.
   std::deque<std::pair<absl::Time, RunnerCrash>> crashes;
-  // The runner has announced its shutdown.
-  bool shutting_down = false;
-  // Time by which a runner that has announced its shutdown should have ended. A
-  // connection that is refused from then on shows that it has.
+  // The last incarnation that has announced its shutdown, and the time by which
+  // it should have ended. A connection that is refused from then on shows that
+  // it has.
+  int64_t shutdown_born_ms = 0;
   absl::Time shutdown_deadline = absl::InfiniteFuture();
   absl::Time renewal_sent_at;
   int64_t born_ms = 0;
--- a/fleet/runner_guard_incarnations.cc
+++ b/fleet/runner_guard_incarnations.cc
@@ -73,7 +73,6 @@
     this->RecordEndOfIncarnation(report.order.born_ms, now);
   this->changing_incarnation = false;
   this->born_ms = report.order.born_ms;
-  this->shutting_down = false;
   this->last_reported_end = 0;
   this->last_confirmed_end = 0;
   // The runner counts as lost until the full report that follows.
@@ -89,16 +88,14 @@
   this->log->Write(LogLine("runner_restarted", LogLevel::kWarning)
                        .Add("born_ms", new_born_ms)
                        .Add("previous_born_ms", this->born_ms)
-                       .Add("shutting_down", this->shutting_down)
+                       .Add("shutting_down", this->IsShuttingDown())
                        .Add("away_ms", absl::ToInt64Milliseconds(now - lost_at))
                        .Add("lost_runs", this->running.size())
                        .Add("pending_starts", this->starting.size()));
   std::vector<LostRun> lost = this->CollectLostRuns(lost_at);
   std::move(this->expired_runs.begin(), this->expired_runs.end(),
             std::back_inserter(lost));
-  const bool announced =
-      this->shutting_down || this->draining_born_ms == this->born_ms;
-  if (!announced && !lost.empty())
+  if (!this->IsDraining() && !lost.empty())
     this->crashes.emplace_back(now,
                                RunnerCrash{this->born_ms, std::move(lost)});
   while (this->crashes.size() > kMaxCrashes)
@@ -181,10 +178,17 @@
   this->handlers.on_changed();
 }
 
-void RunnerGuard::OnRunnerShutdown() {
-  if (!this->shutting_down)
-    this->shutdown_deadline = BootClock().Now() + kMaxShutdownTime;
-  this->shutting_down = true;
+void RunnerGuard::OnRunnerShutdown(int64_t born_ms_of_leaving) {
+  if (this->shutdown_born_ms == born_ms_of_leaving ||
+      (this->IsShuttingDown() && born_ms_of_leaving != this->heard_born_ms))
+    return;
+  this->shutdown_born_ms = born_ms_of_leaving;
+  this->shutdown_deadline = BootClock().Now() + kMaxShutdownTime;
+}
+
+void RunnerGuard::CancelShutdown(int64_t born_ms_of_ready) {
+  if (this->shutdown_born_ms == born_ms_of_ready)
+    this->shutdown_born_ms = 0;
 }
 
 }  // namespace cuminjunction
--- a/fleet/testing/runner_guard_test.cc
+++ b/fleet/testing/runner_guard_test.cc
@@ -322,7 +322,8 @@
 // counted as ended while they had a lease.
 TEST_F(LongRunGuardTest, ARunnerThatOutlivesItsShutdownNoticeIsNotLost) {
   this->StartAndAwaitList();
-  this->thread.Call([this] { this->guard->OnRunnerShutdown(); });
+  this->thread.Call(
+      [this] { this->guard->OnRunnerShutdown(this->standin->BornMs()); });
   this->standin->LoseHoldReplies(1000);
   ASSERT_TRUE(
       this->WaitUntil([this] { return !this->guard->IsRunnerAlive(); }));
@@ -330,11 +331,31 @@
   EXPECT_EQ(this->ledger.Running(), 0);
 }
 
+// Guards against a runner that refuses all starts after the announcement of an
+// earlier incarnation, and against one whose own announcement that hides.
+TEST_F(LongRunGuardTest, OnlyThePresentIncarnationShutsDown) {
+  this->StartAndAwaitList();
+  const int64_t present = this->standin->BornMs();
+  this->thread.Call([&] {
+    this->guard->OnRunnerShutdown(present - 1);
+    EXPECT_FALSE(this->guard->IsShuttingDown());
+    this->guard->OnRunnerShutdown(present);
+    EXPECT_TRUE(this->guard->IsShuttingDown());
+    this->guard->OnRunnerShutdown(present - 1);
+    EXPECT_TRUE(this->guard->IsShuttingDown());
+    this->guard->CancelShutdown(present - 1);
+    EXPECT_TRUE(this->guard->IsShuttingDown());
+    this->guard->CancelShutdown(present);
+    EXPECT_FALSE(this->guard->IsShuttingDown());
+  });
+}
+
 // Guards against work that waits for the end of the lease on a runner that has
 // ended as announced.
 TEST_F(LongRunGuardTest, ARunnerThatEndsAfterItsShutdownNoticeIsLostAtOnce) {
   this->StartAndAwaitList();
-  this->thread.Call([this] { this->guard->OnRunnerShutdown(); });
+  this->thread.Call(
+      [this] { this->guard->OnRunnerShutdown(this->standin->BornMs()); });
   this->standin = nullptr;
   const absl::Time ended_at = absl::Now();
   ASSERT_TRUE(
--- a/testing/soak/departures.cc
+++ b/testing/soak/departures.cc
@@ -19,13 +19,18 @@
 constexpr absl::Duration kTimeToLostAnswers = absl::Milliseconds(600);
 constexpr int kLostAnswers = 5;
 
-// Tells the agent that this runner leaves. True if that is acknowledged.
-bool Deregister(const Node& node, const std::string& id) {
+// One of so many departures is announced again once the next incarnation is up,
+// as by a call that a partition has held up.
+constexpr int kDeparturesPerLateCall = 3;
+
+// Tells the agent that this incarnation of the runner leaves. True if that is
+// acknowledged.
+bool Deregister(const Node& node, const std::string& id, int64_t born_ms) {
   HttpClient client;
   HttpRequest request;
   request.method = "POST";
   request.path = StrCat("/v1/instances/", id, "/deregister");
-  request.body = "{}";
+  request.body = StrCat(R"({"born":)", born_ms, "}");
   const auto answer = client.Send(StrCat("http://", ToString(node.heartbeats)),
                                   request, absl::Now() + kAckLimit);
   return answer && answer.value().status / 100 == 2;
@@ -48,6 +53,8 @@
 
 void Departures::Run(Node* node, uint64_t seed) {
   std::mt19937_64 dice(seed);
+  // Draws of its own, so that each seed keeps its other departures.
+  std::mt19937_64 late_dice(seed + 1);
   const auto between = [&dice](double least_s, double most_s) {
     return absl::Seconds(
         std::uniform_real_distribution<double>(least_s, most_s)(dice));
@@ -73,8 +80,8 @@
     const absl::Time end = absl::Now() + patience;
     const absl::Time lose_at = absl::Now() + kTimeToLostAnswers;
     bool lost_answers = false;
-    while ((!Deregister(*node, id) || loses_acks) && absl::Now() < end &&
-           runner->BornMs() == born_ms) {
+    while ((!Deregister(*node, id, born_ms) || loses_acks) &&
+           absl::Now() < end && runner->BornMs() == born_ms) {
       if (loses_acks && !lost_answers && absl::Now() >= lose_at) {
         lost_answers = true;
         runner->LoseHoldReplies(kLostAnswers);
@@ -83,6 +90,13 @@
     }
     runner->Leave(born_ms, pause);
     ++this->count;
+    if (late_dice() % kDeparturesPerLateCall != 0)
+      continue;
+    while (!this->stop && runner->BornMs() == born_ms)
+      absl::SleepFor(absl::Milliseconds(20));
+    // Its first heartbeat.
+    absl::SleepFor(absl::Milliseconds(300));
+    Deregister(*node, id, born_ms);
   }
 }
 
