Bound the estimates that agents and planners exchange

Fault: the evidence on pairs of images grows with each release of an image, and an agent sent all of it to each planner that connects, with both names for each pair. The planner sent an agent all pairs of its VM four times a second in the same form.

Shown by LargeMessagesTest.TheEstimatesOfAnAgentTakeLittleOfALink (208,432 bytes before; bound 32,768) and InterferenceModelTest.TheLatestEstimatesOfManyImagesAreKept (20,000 estimates before; bound 4,001), which failed on the code before.

Change: a message has each name once; an agent sends the 500 pairs with the latest samples; a planner sends 64 pairs at a time, in turns; beyond 4,000 estimates the older half is dropped.

--- a/fleet/fleet_message.h
+++ b/fleet/fleet_message.h
@@ -27,6 +27,7 @@
 #include "base/codec.h"
 #include "base/error.h"
 #include "submission/crash.h"
+#include "submission/estimate_table.h"
 #include "submission/evacuation.h"
 #include "submission/interference_model.h"
 #include "submission/overload.h"
@@ -317,16 +318,26 @@
 };
 
 // The interference coefficients of pairs of images. Planner to agent: estimates
-// from the samples of all agents, for the images on the agent's VM. Agent to
-// planner, on a new connection: the estimates that the agent has, for a planner
-// that has none yet.
+// from the samples of all agents, for some of the images on the agent's VM.
+// Agent to planner, on a new connection: the latest estimates that the agent
+// has, for a planner that has none yet.
 struct InterferenceNotice {
   uint64_t epoch = 0;
   std::vector<InterferenceEstimate> pairs;
 
   template <class Archive>
-  void serialize(Archive& archive) {
-    archive(this->epoch, this->pairs);
+  void save(Archive& archive) const {
+    archive(this->epoch, ToEstimateTable(this->pairs));
+  }
+
+  template <class Archive>
+  void load(Archive& archive) {
+    EstimateTable table;
+    archive(this->epoch, table);
+    auto estimates = ParseEstimates(table);
+    if (!estimates)
+      throw cereal::Exception("estimate of an image without a name");
+    this->pairs = std::move(*estimates);
   }
 };
 
--- a/fleet/fleet_planner_messages.cc
+++ b/fleet/fleet_planner_messages.cc
@@ -124,7 +124,7 @@
     for (const auto& [image, latency_ratio] : sample->latency_ratios)
       this->scheduler->AddLatencySample(node, image, latency_ratio,
                                         sample->filling_load, now);
-    auto pairs = this->scheduler->InterferenceOn(node);
+    auto pairs = this->scheduler->NextInterferenceOn(node);
     if (!pairs.empty())
       this->nodes.Send(
           node, InterferenceNotice{this->lease.Epoch(), std::move(pairs)});
--- a/fleet/runner_guard.h
+++ b/fleet/runner_guard.h
@@ -24,6 +24,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -47,6 +48,10 @@
 
 namespace cuminjunction {
 
+// Limit of the pairs of images that ExportPairs() returns. All agents send
+// theirs at the same time to an entry that takes over.
+inline constexpr size_t kMaxExportedPairs = 500;
+
 struct RunnerGuardHandlers {
   // The runner's incarnation or its runs have changed in a way that the planner
   // learns only from a full report.
@@ -117,9 +122,10 @@
     this->neighbours.Merge(pairs);
   }
 
-  // The guard's own evidence on pairs of images together with the merged one.
+  // The latest of the guard's own evidence on pairs of images and the merged
+  // one.
   std::vector<InterferenceEstimate> ExportPairs() const {
-    return this->neighbours.Export();
+    return this->neighbours.Export(kMaxExportedPairs);
   }
 
   // Sets the processor capacity of the VM, in thousandths of a core.
--- a/fleet/testing/large_messages_test.cc
+++ b/fleet/testing/large_messages_test.cc
@@ -70,11 +70,22 @@
   ScriptPlanner next(this->Address(), kEpoch + 1);
   const auto notice = next.WaitFor<InterferenceNotice>();
   ASSERT_TRUE(notice);
-  EXPECT_FALSE(notice->pairs.empty());
+  EXPECT_EQ(notice->pairs.size(), kMaxExportedPairs);
   next.Send(Probe(kEpoch + 1));
   EXPECT_TRUE(next.WaitFor<PermitAnswer>());
 }
 
+// Guards against a takeover that waits for the estimates of all agents: each
+// named both images of each pair, some 200 KB in all.
+TEST_F(LargeMessagesTest, TheEstimatesOfAnAgentTakeLittleOfALink) {
+  constexpr size_t kMaxBytes = 32 * 1024;
+  this->StartAgentWithEstimates();
+  ScriptPlanner next(this->Address(), kEpoch + 1);
+  const auto notice = next.WaitFor<InterferenceNotice>();
+  ASSERT_TRUE(notice);
+  EXPECT_LE(EncodeFleetMessage(*notice).size(), kMaxBytes);
+}
+
 // Guards against an agent that is cut off by the planner's estimates for the
 // images on its VM (review/REPORT-3.md, more on case 11).
 TEST_F(LargeMessagesTest, ManyEstimatesOfThePlannerReachAnAgent) {
--- a/fuzz/planner_input_fuzz.cc
+++ b/fuzz/planner_input_fuzz.cc
@@ -116,7 +116,7 @@
       for (const auto& [image, ratio] : sample->latency_ratios)
         this->scheduler.AddLatencySample("vm-1", image, ratio,
                                          sample->filling_load, this->now);
-      this->scheduler.InterferenceOn("vm-1");
+      this->scheduler.NextInterferenceOn("vm-1");
     } else if (const auto* pairs =
                    std::get_if<InterferenceNotice>(&message.value())) {
       this->scheduler.MergeInterference(pairs->pairs);
--- a/submission/interference_model.cc
+++ b/submission/interference_model.cc
@@ -44,8 +44,8 @@
 // A filling image with a smaller share of the VM has no measurable effect.
 constexpr double kMinObservableShare = 0.003;
 
-// More estimates than any current fleet has pairs of images or of VM and image.
-// Beyond this number, those older than kEstimateLifetime are dropped.
+// Limit of the estimates of pairs of images, and of VM and image. At this
+// number, those older than kEstimateLifetime are dropped first.
 constexpr size_t kMaxEstimates = 4000;
 constexpr absl::Duration kEstimateLifetime = absl::Minutes(10);
 
@@ -125,6 +125,18 @@
   std::erase_if(*estimates, [now](const auto& entry) {
     return now - entry.second.last_sample > kEstimateLifetime;
   });
+  if (estimates->size() < kMaxEstimates)
+    return;
+  std::vector<absl::Time> times;
+  times.reserve(estimates->size());
+  for (const auto& [key, estimate] : *estimates)
+    times.push_back(estimate.last_sample);
+  const auto middle = times.begin() + static_cast<ptrdiff_t>(times.size() / 2);
+  std::nth_element(times.begin(), middle, times.end());
+  size_t to_drop = estimates->size() / 2;
+  std::erase_if(*estimates, [&](const auto& entry) {
+    return entry.second.last_sample <= *middle && to_drop > 0 && to_drop-- > 0;
+  });
 }
 
 double InterferenceModel::Interference(const std::string& serving,
@@ -164,12 +176,23 @@
                               found->second.variance};
 }
 
-std::vector<InterferenceEstimate> InterferenceModel::Export() const {
+std::vector<InterferenceEstimate> InterferenceModel::Export(
+    size_t max_count) const {
+  using Entry = std::map<Key, Estimate>::value_type;
+  std::vector<const Entry*> entries;
+  entries.reserve(this->coefficients.size());
+  for (const Entry& entry : this->coefficients)
+    entries.push_back(&entry);
+  std::stable_sort(entries.begin(), entries.end(),
+                   [](const Entry* a, const Entry* b) {
+                     return a->second.last_sample > b->second.last_sample;
+                   });
+  entries.resize(std::min(entries.size(), max_count));
   std::vector<InterferenceEstimate> exported;
-  exported.reserve(this->coefficients.size());
-  for (const auto& [pair, interference] : this->coefficients)
-    exported.push_back(
-        {pair.first, pair.second, interference.value, interference.variance});
+  exported.reserve(entries.size());
+  for (const Entry* entry : entries)
+    exported.push_back({entry->first.first, entry->first.second,
+                        entry->second.value, entry->second.variance});
   return exported;
 }
 
--- a/submission/interference_model.h
+++ b/submission/interference_model.h
@@ -108,8 +108,9 @@
   std::optional<InterferenceEstimate> Find(const std::string& serving,
                                            const std::string& filling) const;
 
-  // Estimates of all pairs, to be sent to another process.
-  std::vector<InterferenceEstimate> Export() const;
+  // Estimates to be sent to another process: at most `max_count`, those with
+  // the latest samples first.
+  std::vector<InterferenceEstimate> Export(size_t max_count) const;
 
   // Replaces the estimate of each pair for which the received one has a lower
   // variance.
@@ -123,6 +124,7 @@
   };
   using Key = std::pair<std::string, std::string>;
 
+  // Drops old estimates, and half of all if there are still too many.
   static void Prune(std::map<Key, Estimate>* estimates, absl::Time now);
 
   // Interference coefficients by serving and filling image.
--- a/submission/scheduler.cc
+++ b/submission/scheduler.cc
@@ -429,17 +429,25 @@
   return states;
 }
 
-std::vector<InterferenceEstimate> Scheduler::InterferenceOn(
-    const std::string& vm) const {
+std::vector<InterferenceEstimate> Scheduler::NextInterferenceOn(
+    const std::string& vm) {
   std::vector<InterferenceEstimate> pairs;
-  const auto worker = this->workers.find(vm);
-  if (worker == this->workers.end())
+  const auto found = this->workers.find(vm);
+  if (found == this->workers.end())
     return pairs;
-  for (const auto& [serving, serving_load] : worker->second->serving) {
-    for (const auto& [filling, filling_load] : worker->second->filling) {
-      if (auto estimate = this->interference_model.Find(serving, filling))
-        pairs.push_back(std::move(*estimate));
-    }
+  Worker& worker = *found->second;
+  std::vector<const std::string*> serving;
+  for (const auto& [image, load] : worker.serving)
+    serving.push_back(&image);
+  std::vector<const std::string*> filling;
+  for (const auto& [image, load] : worker.filling)
+    filling.push_back(&image);
+  const size_t all_pairs = serving.size() * filling.size();
+  for (size_t i = 0; i < std::min(all_pairs, kMaxPairsInNotice); ++i) {
+    const size_t pair = worker.next_pair++ % all_pairs;
+    if (auto estimate = this->interference_model.Find(
+            *serving[pair / filling.size()], *filling[pair % filling.size()]))
+      pairs.push_back(std::move(*estimate));
   }
   return pairs;
 }
--- a/submission/scheduler.h
+++ b/submission/scheduler.h
@@ -169,8 +169,8 @@
   }
 
   // Interference estimates of the pairs of images on a VM, of those that have
-  // samples.
-  std::vector<InterferenceEstimate> InterferenceOn(const std::string& vm) const;
+  // samples. Each call covers the next kMaxPairsInNotice pairs.
+  std::vector<InterferenceEstimate> NextInterferenceOn(const std::string& vm);
 
   // Handles the adviser's answer to a query, or its failure.
   void OnPermits(const PermitQuery& query,
--- a/submission/scheduler_types.h
+++ b/submission/scheduler_types.h
@@ -128,6 +128,10 @@
   SubmissionState state = SubmissionState::kQueued;
 };
 
+// Limit of the pairs of images in one notice to a VM, which is sent several
+// times a second.
+inline constexpr size_t kMaxPairsInNotice = 64;
+
 // Limit of the starts in one plan, so that a planner with an eighth of a
 // processor answers callers and renews its lease between two plans also while
 // it starts the backlog of a takeover.
--- a/submission/testing/interference_model_test.cc
+++ b/submission/testing/interference_model_test.cc
@@ -16,6 +16,9 @@
 const absl::Time kBegin = absl::FromUnixSeconds(100);
 constexpr absl::Duration kSampleInterval = absl::Milliseconds(500);
 
+// More pairs than a test has.
+constexpr size_t kAll = 1000000;
+
 // A VM with one serving image, whose latency ratio follows the model exactly.
 struct EmulatedVm {
   std::string vm;
@@ -71,6 +74,25 @@
   EXPECT_LT(interference_model.Interference("search", "good"), 1.2);
 }
 
+// Guards against estimates that take more memory with each release of an image
+// (review/11), and against the loss of those in use.
+TEST(InterferenceModelTest, TheLatestEstimatesOfManyImagesAreKept) {
+  constexpr int kImages = 20000;
+  constexpr size_t kMaxKept = 4001;
+  InterferenceModel interference_model;
+  absl::Time now = kBegin;
+  for (int image = 0; image < kImages; ++image) {
+    interference_model.AddSample("vm-1", "search", 0.5,
+                                 {{std::to_string(image), 0.2}}, now);
+    now += absl::Milliseconds(1);
+  }
+  const auto latest = interference_model.Export(3);
+  ASSERT_EQ(latest.size(), 3u);
+  EXPECT_EQ(latest[0].filling, std::to_string(kImages - 1));
+  EXPECT_EQ(latest[2].filling, std::to_string(kImages - 3));
+  EXPECT_LE(interference_model.Export(kAll).size(), kMaxKept);
+}
+
 // Guards against lowering the coefficient of an image whose effect is small
 // only because it is paced: it would be raised and slowed down in turns
 // indefinitely.
@@ -98,7 +120,7 @@
 TEST(InterferenceModelTest, SamplesOfAHangingRunnerAreIgnored) {
   InterferenceModel interference_model;
   interference_model.AddSample("vm-1", "search", 400, {{"good", 0.2}}, kBegin);
-  EXPECT_TRUE(interference_model.Export().empty());
+  EXPECT_TRUE(interference_model.Export(kAll).empty());
   EXPECT_DOUBLE_EQ(interference_model.Baseline("vm-1", "search", kBegin),
                    interference_model.Baseline("vm-2", "search", kBegin));
 }
@@ -118,9 +140,9 @@
   InterferenceModel untrained;
   untrained.AddSample("vm-2", "search", 0.4, {{"bad", 0.01}}, now);
   ASSERT_NE(untrained.Interference("search", "bad"), learned);
-  trained.Merge(untrained.Export());
+  trained.Merge(untrained.Export(kAll));
   EXPECT_DOUBLE_EQ(trained.Interference("search", "bad"), learned);
-  untrained.Merge(trained.Export());
+  untrained.Merge(trained.Export(kAll));
   EXPECT_DOUBLE_EQ(untrained.Interference("search", "bad"), learned);
 }
 
--- a/submission/worker.h
+++ b/submission/worker.h
@@ -7,6 +7,7 @@
 // tasks that the planner has placed there. It is freed when the end of a run is
 // reported.
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -93,6 +94,9 @@
   // Load of the serving and the filling tasks by image.
   std::map<std::string, ImageLoad> serving;
   std::map<std::string, ImageLoad> filling;
+  // Number of the pair of serving and filling image that comes next in
+  // Scheduler::NextInterferenceOn().
+  size_t next_pair = 0;
   // By serving image; see RefreshLatencyOutlooks().
   std::vector<LatencyOutlook> latency_outlooks;
   // Number of the plan in which they were computed.
