--- a/base/testing/codec_test.cc
+++ b/base/testing/codec_test.cc
@@ -55,6 +55,8 @@
               decoded.value());
 }
 
+constexpr size_t kReadBytes = 16384;
+
 TEST(FrameTest, CutsAStreamThatArrivesByteByByte) {
   std::string wire;
   AppendMessageFrames("first", &wire);
@@ -114,7 +116,6 @@
     AppendMessageFrames("next", &wire);
     FrameReader reader;
     std::vector<std::string> payloads;
-    constexpr size_t kReadBytes = 16384;
     for (size_t begin = 0; begin < wire.size(); begin += kReadBytes) {
       reader.Append(std::string_view(wire).substr(begin, kReadBytes));
       for (;;) {
--- a/fleet/testing/large_messages_test.cc
+++ b/fleet/testing/large_messages_test.cc
@@ -18,6 +18,12 @@
 constexpr int kServingImages = 44;
 constexpr int kFillingImages = 22;
 
+constexpr size_t kMaxEstimateBytes = 32 * 1024;
+
+// Runs of one VM whose report takes more than a frame.
+constexpr int kRuns = 6000;
+constexpr absl::Duration kGrant = absl::Minutes(10);
+
 std::string ImageName(const std::string& kind, int number) {
   return StrCat("registry.example/", kind, "-", number,
                 "@sha256:", std::string(64, 'f'));
@@ -78,12 +84,11 @@
 // Guards against a takeover that waits for the estimates of all agents: each
 // named both images of each pair, some 200 KB in all.
 TEST_F(LargeMessagesTest, TheEstimatesOfAnAgentTakeLittleOfALink) {
-  constexpr size_t kMaxBytes = 32 * 1024;
   this->StartAgentWithEstimates();
   ScriptPlanner next(this->Address(), kEpoch + 1);
   const auto notice = next.WaitFor<InterferenceNotice>();
   ASSERT_TRUE(notice);
-  EXPECT_LE(EncodeFleetMessage(*notice).size(), kMaxBytes);
+  EXPECT_LE(EncodeFleetMessage(*notice).size(), kMaxEstimateBytes);
 }
 
 // Guards against an agent that is cut off by the planner's estimates for the
@@ -102,8 +107,6 @@
 // VM: the planner's starts and stops, and the agent's report to the next
 // planner (review/10 with crashed runs).
 TEST_F(LargeMessagesTest, MessagesThatNameManyRunsArrive) {
-  constexpr int kRuns = 6000;
-  constexpr absl::Duration kGrant = absl::Minutes(10);
   this->StartRunner(absl::Hours(1));
   this->StartAgent();
   ScriptPlanner planner(this->Address(), kEpoch);
--- a/submission/testing/estimate_table_test.cc
+++ b/submission/testing/estimate_table_test.cc
@@ -13,6 +13,10 @@
 namespace cuminjunction {
 namespace {
 
+// Images of each kind on a VM.
+constexpr int kImages = 20;
+constexpr size_t kPairs = size_t{kImages} * kImages;
+
 TEST(EstimateTableTest, KeepsEachNameOnce) {
   const std::vector<InterferenceEstimate> estimates = {
       {"a", "x", 1, 2}, {"a", "y", 3, 4}, {"b", "a", 5, 6}};
@@ -33,7 +37,6 @@
 // Guards against notices that fill the link to a VM with many images, and
 // against pairs that never get their turn.
 TEST_F(SchedulerTest, TheEstimatesOfAVmAreSentInTurns) {
-  constexpr int kImages = 20;
   WorkerReport report = MakeReport("vm-1");
   report.info.capacity = {160000, 62500, 0};
   this->scheduler.MergeReport(report, this->now);
@@ -60,7 +63,6 @@
                                        {{StrCat("filling-", filling), 0.1}},
                                        this->now);
   }
-  constexpr size_t kPairs = size_t{kImages} * kImages;
   std::set<std::pair<std::string, std::string>> sent;
   for (size_t notice = 0; notice * kMaxPairsInNotice < kPairs; ++notice) {
     const auto pairs = this->scheduler.NextInterferenceOn("vm-1");
--- a/submission/testing/interference_model_test.cc
+++ b/submission/testing/interference_model_test.cc
@@ -16,6 +16,10 @@
 const absl::Time kBegin = absl::FromUnixSeconds(100);
 constexpr absl::Duration kSampleInterval = absl::Milliseconds(500);
 
+// Many more images than estimates are kept.
+constexpr int kManyImages = 20000;
+constexpr size_t kMaxKept = 4001;
+
 // More pairs than a test has.
 constexpr size_t kAll = 1000000;
 
@@ -77,19 +81,17 @@
 // Guards against estimates that take more memory with each release of an image
 // (review/11), and against the loss of those in use.
 TEST(InterferenceModelTest, TheLatestEstimatesOfManyImagesAreKept) {
-  constexpr int kImages = 20000;
-  constexpr size_t kMaxKept = 4001;
   InterferenceModel interference_model;
   absl::Time now = kBegin;
-  for (int image = 0; image < kImages; ++image) {
+  for (int image = 0; image < kManyImages; ++image) {
     interference_model.AddSample("vm-1", "search", 0.5,
                                  {{std::to_string(image), 0.2}}, now);
     now += absl::Milliseconds(1);
   }
   const auto latest = interference_model.Export(3);
   ASSERT_EQ(latest.size(), 3u);
-  EXPECT_EQ(latest[0].filling, std::to_string(kImages - 1));
-  EXPECT_EQ(latest[2].filling, std::to_string(kImages - 3));
+  EXPECT_EQ(latest[0].filling, std::to_string(kManyImages - 1));
+  EXPECT_EQ(latest[2].filling, std::to_string(kManyImages - 3));
   EXPECT_LE(interference_model.Export(kAll).size(), kMaxKept);
 }
 
