Count the placed tasks of a step once in a plan

Shown by SchedulerCrashTest.ManySuspectsAreCountedOnce: a plan of 1,000 suspects counted 1,000,000 tasks before (bound 2,000).

Change: the tasks are counted once and the count is kept up to date.

--- a/submission/scheduler_plan.cc
+++ b/submission/scheduler_plan.cc
@@ -166,6 +166,11 @@
   std::optional<PlacementSearch> search;
   std::vector<Worker*> changed;
   bool has_preempted = false;
+  bool counted = false;
+  const auto count_placed_once = [&] {
+    if (!std::exchange(counted, true))
+      this->CountPlaced(candidate, orders);
+  };
   const uint32_t placed_before = slots.placed;
   for (uint32_t index = 0; index < slots.tasks.size(); ++index) {
     TaskSlot& slot = slots.tasks[index];
@@ -179,7 +184,7 @@
     }
     const bool can_wait = CanWait(step, slots, now);
     if (IsSuspect(slot.crashes)) {
-      this->CountPlaced(candidate, orders);
+      count_placed_once();
       context.can_wait = can_wait;
       context.rack = candidate->rack;
       double cost = 0;
@@ -213,8 +218,7 @@
     // wait for a VM because its first task has started.
     if (!search || can_wait != context.can_wait ||
         candidate->rack != context.rack) {
-      if (!search)
-        this->CountPlaced(candidate, orders);
+      count_placed_once();
       context.can_wait = can_wait;
       context.rack = candidate->rack;
       order->Reposition(changed);
@@ -422,9 +426,8 @@
   Worker* best = nullptr;
   std::optional<PreemptionChoice> best_choice;
   for (auto& [vm, worker] : this->workers) {
-    context.same_step = 0;
-    for (const TaskSlot& other : candidate.Slots().tasks)
-      context.same_step += other.phase == TaskPhase::kPlaced && other.vm == vm;
+    const auto same = candidate.same_step.find(vm);
+    context.same_step = same == candidate.same_step.end() ? 0 : same->second;
     if (!IsEligible(step, context, *worker, now) ||
         this->TicketFor(*candidate.active, candidate.occurrence, candidate.step,
                         *worker, now) == nullptr)
--- a/submission/testing/scheduler_crash_test.cc
+++ b/submission/testing/scheduler_crash_test.cc
@@ -38,6 +38,29 @@
   std::map<std::string, int64_t> born_ms;
 };
 
+// Guards against a step of many suspects that stops the work of all others: the
+// tasks of the step were counted anew for each of them in each plan, as those
+// of a gang were (review/12).
+TEST_F(SchedulerCrashTest, ManySuspectsAreCountedOnce) {
+  constexpr uint32_t count = 1000;
+  WorkerReport report = MakeReport("vm-1");
+  report.info.capacity = {4000, 0, 0};
+  this->scheduler.MergeReport(report, this->now);
+  Step step = MakeStep(count, 1);
+  step.size.memory_mib = 0;
+  this->Add(MakeSubmission(kId, {step}));
+  std::vector<StartOrder> starts;
+  for (bool more = true; more;) {
+    const Orders orders = this->Plan();
+    starts.insert(starts.end(), orders.starts.begin(), orders.starts.end());
+    more = orders.more;
+  }
+  ASSERT_EQ(starts.size(), count);
+  this->Crash("vm-1", starts);
+  this->now += absl::Seconds(10);
+  EXPECT_LE(this->Plan().counted_tasks, 2u * count);
+}
+
 // Guards against a count of crashes that is lost with the planner: the next one
 // would start the task until it has seen all of them by itself.
 TEST_F(SchedulerCrashTest, TheNextPlannerKnowsEarlierCrashes) {
