Keep a connection on which a long message is arriving

A report that takes longer on the link was cut off, and repeated on the next connection without end.

Change: bytes of an unfinished message count as a sign of life. A silent connection is still closed after 1.3 s.

--- a/base/frame_link.cc
+++ b/base/frame_link.cc
@@ -4,6 +4,8 @@
 #include <boost/asio/write.hpp>
 #include <utility>
 
+#include "base/time.h"
+
 namespace cuminjunction {
 
 namespace {
@@ -91,6 +93,7 @@
 }
 
 void FrameLink::Take(size_t size) {
+  this->last_received = BootClock().Now();
   this->reader.Append({this->received.data(), size});
   for (;;) {
     const auto next = this->reader.Next();
--- a/base/frame_link.h
+++ b/base/frame_link.h
@@ -21,6 +21,7 @@
 #include <string_view>
 #include <system_error>
 
+#include "absl/time/time.h"
 #include "base/endpoint.h"
 #include "base/error.h"
 #include "base/frame.h"
@@ -56,6 +57,10 @@
 
   bool IsClosed() const { return this->closed; }
 
+  // When bytes last arrived, by the boot clock: a long message may still be on
+  // its way.
+  absl::Time LastReceived() const { return this->last_received; }
+
  private:
   void Fail(std::error_code reason);
   void Read();
@@ -70,6 +75,7 @@
   bool write_posted = false;
   std::array<char, 16384> received;
   FrameReader reader;
+  absl::Time last_received = absl::InfinitePast();
   std::string queued;
   std::string writing;
 };
--- a/fleet/planner_nodes.cc
+++ b/fleet/planner_nodes.cc
@@ -20,8 +20,8 @@
 // enough for the next order.
 constexpr absl::Duration kRecentPing = absl::Milliseconds(100);
 
-// A connection without an answer for this long is closed: three ping intervals
-// and the round trip to another region (24 ms).
+// A connection on which nothing arrives for this long is closed: three ping
+// intervals and the round trip to another region (24 ms).
 constexpr absl::Duration kPongTimeout = absl::Milliseconds(1300);
 
 // Delay before the next attempt to connect.
@@ -118,7 +118,9 @@
   this->current_commits_failing = commits_failing;
   const absl::Time now = BootClock().Now();
   for (auto& [vm, node] : this->nodes) {
-    if (node.link && now - node.last_received > kPongTimeout)
+    if (node.link &&
+        now - std::max(node.last_received, node.link->LastReceived()) >
+            kPongTimeout)
       this->Disconnect(vm, &node, std::make_error_code(std::errc::timed_out));
     if (!node.link && now >= node.retry_at)
       this->Connect(vm, &node);
--- a/fleet/planner_nodes.h
+++ b/fleet/planner_nodes.h
@@ -109,7 +109,7 @@
     std::shared_ptr<FrameLink> link;
     // The node has answered on this connection.
     bool answered = false;
-    // When the connection was started or the last frame arrived.
+    // When the last message arrived, or the connection was begun.
     absl::Time last_received;
     // Infinite future while another VM has the address.
     absl::Time retry_at = absl::InfinitePast();
--- a/fleet/testing/large_messages_test.cc
+++ b/fleet/testing/large_messages_test.cc
@@ -2,12 +2,19 @@
 // frame.
 
 #include <cstdint>
+#include <memory>
+#include <optional>
 #include <string>
+#include <utility>
+#include <variant>
 #include <vector>
 
+#include "base/event_thread.h"
+#include "fleet/planner_nodes.h"
 #include "fleet/testing/fleet_fixture.h"
 #include "fleet/testing/port_process.h"
 #include "fleet/testing/script_planner.h"
+#include "testing/support/fault_proxy.h"
 
 namespace cuminjunction {
 namespace {
@@ -24,6 +31,9 @@
 constexpr int kRuns = 6000;
 constexpr absl::Duration kGrant = absl::Minutes(10);
 
+// Such a report takes about 3 s.
+constexpr int64_t kThinLinkBytesPerSecond = 50000;
+
 std::string ImageName(const std::string& kind, int number) {
   return StrCat("registry.example/", kind, "-", number,
                 "@sha256:", std::string(64, 'f'));
@@ -153,5 +163,82 @@
   EXPECT_TRUE(this->WaitUntil([this] { return this->ledger.Running() == 0; }));
 }
 
+// A planner without a lease that counts the reports and the ends of its
+// connection to one agent.
+class ReportedPlanner {
+ public:
+  ReportedPlanner(Log* log, const Endpoint& agent)
+      : thread("planner"),
+        nodes(&this->thread.Context(),
+              "planner",
+              log,
+              {.on_connected = [](const std::string&, bool) {},
+               .on_disconnected = [this](const std::string&,
+                                         bool) { ++this->ends; },
+               .on_long_grants_ruled_out = [] {},
+               .may_grant = [](const std::string&) { return false; },
+               .on_granted = [](const std::string&, absl::Time) {},
+               .on_message =
+                   [this](const std::string&, FleetMessage&& message) {
+                     if (std::holds_alternative<WorkerNotice>(message))
+                       ++this->reports;
+                   },
+               .on_higher_epoch = [] {}}) {
+    this->thread.Start();
+    this->thread.Call([&] {
+      this->nodes.Start(kEpoch);
+      this->nodes.Add("agent-1", NodeRow{agent, true});
+    });
+  }
+
+  ~ReportedPlanner() {
+    this->thread.Call([this] { this->nodes.Stop(); });
+    this->thread.Stop();
+  }
+
+  // Returns the number of reports so far.
+  int Tick() {
+    return this->thread.Call([this] {
+      this->nodes.Tick(absl::ZeroDuration(), false);
+      return this->reports;
+    });
+  }
+
+  int Ends() {
+    return this->thread.Call([this] { return this->ends; });
+  }
+
+ private:
+  EventThread thread;
+  PlannerNodes nodes;
+  int reports = 0;
+  int ends = 0;
+};
+
+// Guards against an agent that is cut off while its report is on its way: on a
+// thin link it takes longer than the planner waits for an answer.
+TEST_F(LargeMessagesTest, AReportOnAThinLinkArrives) {
+  const Settings settings = this->CommonSettings("agent-1");
+  WorkerNotice report;
+  for (uint32_t index = 0; index < kRuns; ++index)
+    report.running.push_back({{kSubmissionId, 0, 0, index}, 1, "", 0, false});
+  std::optional<PortProcess> process;
+  process.emplace(
+      settings, &this->log, [&] { process->Send(report); },
+      [](FleetMessage&&) {});
+  EventThread links("links");
+  links.Start();
+  auto link = std::move(
+      FaultProxy::Start(&links, PortProcess::Address(settings)).value());
+  link->SetRate(kThinLinkBytesPerSecond);
+  {
+    ReportedPlanner planner(&this->log, link->Address());
+    EXPECT_TRUE(this->WaitUntil([&] { return planner.Tick() == 1; }));
+    EXPECT_EQ(planner.Ends(), 0);
+  }
+  process.reset();
+  links.Stop();
+}
+
 }  // namespace
 }  // namespace cuminjunction
