--- a/fleet/testing/large_messages_test.cc
+++ b/fleet/testing/large_messages_test.cc
@@ -24,6 +24,10 @@
 // As in review/11: 44 serving and 22 filling images, named by their digests.
 constexpr int kServingImages = 44;
 constexpr int kFillingImages = 22;
+constexpr size_t kDigestBytes = 64;
+
+// With names of this length the estimates of one notice take more than a frame.
+constexpr size_t kLongNameBytes = 8000;
 
 constexpr size_t kMaxEstimateBytes = 32 * 1024;
 
@@ -34,17 +38,17 @@
 // Such a report takes about 3 s.
 constexpr int64_t kThinLinkBytesPerSecond = 50000;
 
-std::string ImageName(const std::string& kind, int number) {
+std::string ImageName(const std::string& kind, int number, size_t bytes) {
   return StrCat("registry.example/", kind, "-", number,
-                "@sha256:", std::string(64, 'f'));
+                "@sha256:", std::string(bytes, 'f'));
 }
 
-std::vector<InterferenceEstimate> ManyEstimates() {
+std::vector<InterferenceEstimate> ManyEstimates(size_t name_bytes) {
   std::vector<InterferenceEstimate> estimates;
   for (int serving = 0; serving < kServingImages; ++serving) {
     for (int filling = 0; filling < kFillingImages; ++filling)
-      estimates.push_back({ImageName("serving", serving),
-                           ImageName("filling", filling), 3, 0.5});
+      estimates.push_back({ImageName("serving", serving, name_bytes),
+                           ImageName("filling", filling, name_bytes), 3, 0.5});
   }
   return estimates;
 }
@@ -62,12 +66,12 @@
  protected:
   // Starts an agent that knows the estimates, which an earlier planner has sent
   // in parts.
-  void StartAgentWithEstimates() {
+  void StartAgentWithEstimates(size_t name_bytes) {
     this->StartRunner(absl::Milliseconds(50));
     this->StartAgent();
     ScriptPlanner planner(this->Address(), kEpoch);
     ASSERT_TRUE(planner.WaitFor<NodePong>());
-    for (const InterferenceEstimate& estimate : ManyEstimates())
+    for (const InterferenceEstimate& estimate : ManyEstimates(name_bytes))
       planner.Send(InterferenceNotice{kEpoch, {estimate}});
     planner.Send(Probe(kEpoch));
     ASSERT_TRUE(planner.WaitFor<PermitAnswer>());
@@ -82,11 +86,12 @@
 // new planner more estimates than a frame may hold, and the planner closed the
 // connection.
 TEST_F(LargeMessagesTest, ManyEstimatesDoNotCutOffAnAgent) {
-  this->StartAgentWithEstimates();
+  this->StartAgentWithEstimates(kLongNameBytes);
   ScriptPlanner next(this->Address(), kEpoch + 1);
   const auto notice = next.WaitFor<InterferenceNotice>();
   ASSERT_TRUE(notice);
   EXPECT_EQ(notice->pairs.size(), kMaxExportedPairs);
+  ASSERT_GT(EncodeFleetMessage(*notice).size(), kMaxFramePayload);
   next.Send(Probe(kEpoch + 1));
   EXPECT_TRUE(next.WaitFor<PermitAnswer>());
 }
@@ -94,7 +99,7 @@
 // Guards against a takeover that waits for the estimates of all agents: each
 // named both images of each pair, some 200 KB in all.
 TEST_F(LargeMessagesTest, TheEstimatesOfAnAgentTakeLittleOfALink) {
-  this->StartAgentWithEstimates();
+  this->StartAgentWithEstimates(kDigestBytes);
   ScriptPlanner next(this->Address(), kEpoch + 1);
   const auto notice = next.WaitFor<InterferenceNotice>();
   ASSERT_TRUE(notice);
@@ -108,7 +113,9 @@
   this->StartAgent();
   ScriptPlanner planner(this->Address(), kEpoch);
   ASSERT_TRUE(planner.WaitFor<NodePong>());
-  planner.Send(InterferenceNotice{kEpoch, ManyEstimates()});
+  const InterferenceNotice notice{kEpoch, ManyEstimates(kLongNameBytes)};
+  ASSERT_GT(EncodeFleetMessage(notice).size(), kMaxFramePayload);
+  planner.Send(notice);
   planner.Send(Probe(kEpoch));
   EXPECT_TRUE(planner.WaitFor<PermitAnswer>());
 }
