--- a/fleet/testing/large_messages_test.cc
+++ b/fleet/testing/large_messages_test.cc
@@ -1,6 +1,7 @@
 // Tests of messages between a planner and an agent that are longer than a
 // frame.
 
+#include <atomic>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -172,9 +173,9 @@
 
 // A planner without a lease that counts the reports and the ends of its
 // connection to one agent.
-class ReportedPlanner {
+class CountingPlanner {
  public:
-  ReportedPlanner(Log* log, const Endpoint& agent)
+  CountingPlanner(Log* log, const Endpoint& agent)
       : thread("planner"),
         nodes(&this->thread.Context(),
               "planner",
@@ -198,7 +199,7 @@
     });
   }
 
-  ~ReportedPlanner() {
+  ~CountingPlanner() {
     this->thread.Call([this] { this->nodes.Stop(); });
     this->thread.Stop();
   }
@@ -239,7 +240,7 @@
       FaultProxy::Start(&links, PortProcess::Address(settings)).value());
   link->SetRate(kThinLinkBytesPerSecond);
   {
-    ReportedPlanner planner(&this->log, link->Address());
+    CountingPlanner planner(&this->log, link->Address());
     EXPECT_TRUE(this->WaitUntil([&] { return planner.Tick() == 1; }));
     EXPECT_EQ(planner.Ends(), 0);
   }
@@ -247,5 +248,32 @@
   links.Stop();
 }
 
+// Guards against a message above the limit that ends its sender or fills the
+// memory of the receiver: the sender closes the connection instead, and the
+// next one works.
+TEST_F(LargeMessagesTest, AMessageAboveTheLimitIsNotSent) {
+  const Settings settings = this->CommonSettings("agent-1");
+  StartedNotice too_long;
+  too_long.submissions.insert(std::string(kMaxMessageBytes + 1, 'x'));
+  std::atomic<int> connections = 0;
+  std::optional<PortProcess> process;
+  process.emplace(
+      settings, &this->log,
+      [&] {
+        ++connections;
+        process->Send(WorkerNotice());
+      },
+      [](FleetMessage&&) {});
+  {
+    CountingPlanner planner(&this->log, PortProcess::Address(settings));
+    ASSERT_TRUE(this->WaitUntil([&] { return planner.Tick() == 1; }));
+    process->Call([&] { process->Send(too_long); });
+    EXPECT_TRUE(this->WaitUntil([&] { return planner.Tick() == 2; }));
+    EXPECT_EQ(planner.Ends(), 1);
+  }
+  EXPECT_EQ(connections, 2);
+  process.reset();
+}
+
 }  // namespace
 }  // namespace cuminjunction
