Compute the crash risk of a VM once in a plan

Change: the last start and the work at risk of a VM are kept for the plan, and computed again once a task has been placed there.

SchedulerCrashTest.TheTasksBesideSuspectsAreCountedOnce counts no more than 4,000 visits; without the check of the plan's number it counts 505,997 and fails.

--- a/submission/scheduler.h
+++ b/submission/scheduler.h
@@ -287,8 +287,11 @@
   // to lose. Returns null if there is none yet.
   Worker* ChooseWorkerForSuspect(const TaskSlot& slot,
                                  const WorkerCost& cost_on,
+                                 Orders* orders,
                                  absl::Time now,
                                  double* cost);
+  // Computes the worker's crash risk unless this plan has done so.
+  void RefreshCrashRisk(Worker* worker, Orders* orders, absl::Time now);
   void EndSubmission(ActiveSubmission* active, SubmissionState state);
   void CompleteTask(ActiveSubmission* active, const TaskRef& task);
   void CompleteGang(ActiveSubmission* active, const TaskRef& task);
--- a/submission/scheduler_crashes.cc
+++ b/submission/scheduler_crashes.cc
@@ -25,23 +25,6 @@
                      });
 }
 
-// Time of the last start on the VM.
-absl::Time LastStart(const Worker& worker) {
-  absl::Time last = absl::InfinitePast();
-  for (const auto& [task, placed] : worker.placed)
-    last = std::max(last, placed.placed_at);
-  return last;
-}
-
-// Work that a crash of the runner would lose, in core-seconds.
-double WorkAtRisk(const Worker& worker, absl::Time now) {
-  double work = 0;
-  for (const auto& [task, placed] : worker.placed)
-    work += absl::ToDoubleSeconds(now - placed.placed_at) *
-            static_cast<double>(placed.size.millicores) / 1000.0;
-  return work;
-}
-
 }  // namespace
 
 void Scheduler::RecordCrash(const std::string& vm,
@@ -136,22 +119,41 @@
   return std::exchange(this->given_up, {});
 }
 
+void Scheduler::RefreshCrashRisk(Worker* worker,
+                                 Orders* orders,
+                                 absl::Time now) {
+  if (std::exchange(worker->crash_risk_plan, this->plan_number) ==
+      this->plan_number)
+    return;
+  orders->counted_tasks += worker->placed.size();
+  worker->crash_risk = CrashRisk();
+  CrashRisk& risk = worker->crash_risk;
+  for (const auto& [task, placed] : worker->placed) {
+    risk.last_start = std::max(risk.last_start, placed.placed_at);
+    risk.work += absl::ToDoubleSeconds(now - placed.placed_at) *
+                 static_cast<double>(placed.size.millicores) / 1000.0;
+  }
+}
+
 Worker* Scheduler::ChooseWorkerForSuspect(const TaskSlot& slot,
                                           const WorkerCost& cost_on,
+                                          Orders* orders,
                                           absl::Time now,
                                           double* cost) {
   const bool may_wait = now - slot.crashed_at < kMaxSuspectWait;
   Worker* best = nullptr;
   std::tuple<bool, bool, double> best_rank;
   for (auto& [vm, worker] : this->workers) {
-    const bool disturbed = now - LastStart(*worker) < kSuspectIsolation;
+    this->RefreshCrashRisk(worker.get(), orders, now);
+    const bool disturbed =
+        now - worker->crash_risk.last_start < kSuspectIsolation;
     if (disturbed && may_wait)
       continue;
     const auto found = cost_on(worker.get());
     if (!found)
       continue;
     const std::tuple<bool, bool, double> rank(vm == slot.failed_vm, disturbed,
-                                              WorkAtRisk(*worker, now));
+                                              worker->crash_risk.work);
     if (best != nullptr && rank >= best_rank)
       continue;
     best = worker.get();
--- a/submission/scheduler_plan.cc
+++ b/submission/scheduler_plan.cc
@@ -191,7 +191,8 @@
       context.ignores_isolation =
           step.long_running &&
           now - slot.crashed_at >= kMaxLongRunningSuspectWait;
-      Worker* worker = this->ChooseWorkerForSuspect(slot, evaluate, now, &cost);
+      Worker* worker =
+          this->ChooseWorkerForSuspect(slot, evaluate, orders, now, &cost);
       context.ignores_isolation = false;
       if (worker == nullptr) {
         if (step.long_running && !has_preempted &&
@@ -312,6 +313,7 @@
       this->Release(candidate->active, task, &slots.tasks[index]);
       slots.tasks[index].highest_run = members[index].last_run;
       members[index].worker->outlooks_plan = 0;
+      members[index].worker->crash_risk_plan = 0;
     }
     return;
   }
@@ -332,6 +334,7 @@
   this->Place(candidate->active, candidate->Task(index),
               &candidate->Slots().tasks[index], worker, run, now);
   worker->outlooks_plan = 0;
+  worker->crash_risk_plan = 0;
   ++candidate->same_step[worker->vm];
   if (candidate->Spec().single_rack && candidate->rack.empty())
     candidate->rack = RackOf(worker->info);
--- a/submission/scheduler_types.h
+++ b/submission/scheduler_types.h
@@ -53,7 +53,7 @@
   // Pairs of a task and a VM for which a placement cost was computed: the work
   // of the plan.
   uint64_t evaluations = 0;
-  // Tasks that were visited to count those of a step by VM.
+  // Tasks that were visited for sums over a step or over a VM.
   uint64_t counted_tasks = 0;
   // The plan was cut short; call Plan() again soon.
   bool more = false;
--- a/submission/testing/scheduler_crash_test.cc
+++ b/submission/testing/scheduler_crash_test.cc
@@ -28,6 +28,17 @@
     this->Report(vm, crash);
   }
 
+  // Plans until nothing more can start. Returns all starts.
+  std::vector<StartOrder> PlanAll() {
+    std::vector<StartOrder> starts;
+    for (bool more = true; more;) {
+      const Orders orders = this->Plan();
+      starts.insert(starts.end(), orders.starts.begin(), orders.starts.end());
+      more = orders.more;
+    }
+    return starts;
+  }
+
   void Report(const std::string& vm, const RunnerCrash& crash) {
     this->born_ms[vm] = crash.born_ms;
     WorkerReport report = MakeReport(vm, crash.born_ms + 1);
@@ -49,18 +60,40 @@
   Step step = MakeStep(count, 1);
   step.size.memory_mib = 0;
   this->Add(MakeSubmission(kId, {step}));
-  std::vector<StartOrder> starts;
-  for (bool more = true; more;) {
-    const Orders orders = this->Plan();
-    starts.insert(starts.end(), orders.starts.begin(), orders.starts.end());
-    more = orders.more;
-  }
+  const std::vector<StartOrder> starts = this->PlanAll();
   ASSERT_EQ(starts.size(), count);
   this->Crash("vm-1", starts);
   this->now += absl::Seconds(10);
   EXPECT_LE(this->Plan().counted_tasks, 2u * count);
 }
 
+// Guards against the same for the other tasks of the VMs that may take a
+// suspect: all of them were visited for each suspect, to find the last start
+// and the work at risk.
+TEST_F(SchedulerCrashTest, TheTasksBesideSuspectsAreCountedOnce) {
+  constexpr uint32_t count = 1000;
+  WorkerReport report = MakeReport("vm-1");
+  report.info.capacity = {4000, 0, 0};
+  this->scheduler.MergeReport(report, this->now);
+  Step step = MakeStep(count, 1);
+  step.size.memory_mib = 0;
+  const std::string other = "00000000000000b2";
+  this->Add(MakeSubmission(kId, {step}));
+  const std::vector<StartOrder> starts = this->PlanAll();
+  ASSERT_EQ(starts.size(), count);
+  report = MakeReport("vm-2");
+  report.info.capacity = {4000, 0, 0};
+  this->scheduler.MergeReport(report, this->now);
+  this->Add(MakeSubmission(other, {step}));
+  ASSERT_EQ(this->PlanAll().size(), count);
+  this->Crash("vm-1", starts);
+  this->now += absl::Seconds(10);
+  const Orders orders = this->Plan();
+  EXPECT_LE(orders.counted_tasks, 4u * count);
+  // Each VM takes one suspect, apart from other starts.
+  EXPECT_EQ(orders.starts.size(), 2u);
+}
+
 // Guards against a count of crashes that is lost with the planner: the next one
 // would start the task until it has seen all of them by itself.
 TEST_F(SchedulerCrashTest, TheNextPlannerKnowsEarlierCrashes) {
--- a/submission/worker.h
+++ b/submission/worker.h
@@ -57,6 +57,16 @@
   double slowdown = 1;
 };
 
+// What a crash of the runner would mean for the tasks on a VM.
+struct CrashRisk {
+  // Time of the last start among the tasks.
+  absl::Time last_start = absl::InfinitePast();
+  // Work that would be lost, in core-seconds.
+  double work = 0;
+
+  bool operator==(const CrashRisk&) const = default;
+};
+
 struct Worker {
   std::string vm;
   RunnerInfo info;
@@ -101,6 +111,10 @@
   std::vector<LatencyOutlook> latency_outlooks;
   // Number of the plan in which they were computed.
   uint64_t outlooks_plan = 0;
+  // See Scheduler::RefreshCrashRisk(), and the number of the plan in which it
+  // was computed.
+  CrashRisk crash_risk;
+  uint64_t crash_risk_plan = 0;
   // Capacity reserved for a long-running task while other tasks are being
   // stopped to make space for it.
   Size reserved;
