Look up the ends of pending starts in a set

RunnerGuard::ResolveStarts() walked over all listed ends for each pending start, up to 500 for each.

The tests of the guard, of cut lists, late orders and calls that are sent twice pass (31).

--- a/fleet/runner_guard_starts.cc
+++ b/fleet/runner_guard_starts.cc
@@ -1,7 +1,7 @@
 // RunnerGuard: starts and stops runs, and repeats each order until its outcome
 // is certain.
 
-#include <algorithm>
+#include <set>
 #include <utility>
 
 #include "base/time.h"
@@ -39,6 +39,9 @@
 }
 
 void RunnerGuard::ResolveStarts() {
+  std::set<std::pair<TaskRef, uint32_t>> ended_runs;
+  for (const EndedRun& end : this->ended)
+    ended_runs.emplace(end.task, end.run);
   std::vector<PendingStart> not_running;
   std::vector<PendingStart*> to_stop;
   for (auto entry = this->starting.begin(); entry != this->starting.end();) {
@@ -46,11 +49,7 @@
     const auto listed = this->running.find(entry->first);
     const bool runs = listed != this->running.end() &&
                       listed->second.running.run == start.order.run;
-    const bool has_ended = std::any_of(
-        this->ended.begin(), this->ended.end(), [&](const EndedRun& end) {
-          return end.task == entry->first && end.run == start.order.run;
-        });
-    if (runs || has_ended) {
+    if (runs || ended_runs.contains({entry->first, start.order.run})) {
       entry = this->starting.erase(entry);
       continue;
     }
