--- a/base/frame_link.cc
+++ b/base/frame_link.cc
@@ -51,14 +51,14 @@
   this->Write();
 }
 
-void FrameLink::Send(std::string_view payload) {
+void FrameLink::Send(std::string_view message) {
   if (this->closed)
     return;
-  if (payload.size() > kMaxMessageBytes) {
+  if (message.size() > kMaxMessageBytes) {
     this->Fail(make_error_code(FrameError::kTooLong));
     return;
   }
-  AppendMessageFrames(payload, &this->queued);
+  AppendMessageFrames(message, &this->queued);
   if (this->queued.size() > kMaxQueuedBytes)
     this->Fail(std::make_error_code(std::errc::no_buffer_space));
   else
@@ -103,7 +103,7 @@
     }
     if (!next.value())
       break;
-    const Status taken = this->handlers.on_frame(*next.value());
+    const Status taken = this->handlers.on_message(*next.value());
     if (this->closed)
       return;
     if (!taken) {
--- a/base/frame_link.h
+++ b/base/frame_link.h
@@ -4,10 +4,10 @@
 // One TCP connection that carries messages (base/frame.h) in both directions.
 //
 //   auto link = std::make_shared<FrameLink>(std::move(socket), FrameHandlers{
-//       .on_frame = [](std::string_view payload) { return Use(payload); },
+//       .on_message = [](std::string_view message) { return Use(message); },
 //       .on_closed = [](std::error_code reason) { ... }});
 //   link->Open();
-//   link->Send(payload);
+//   link->Send(message);
 //
 // Messages that are sent during one turn of the event loop go out in one write.
 // What is queued is lost when the connection breaks; senders repeat what
@@ -32,7 +32,7 @@
   // The connection has been made, on the side that called Connect().
   std::function<void()> on_open;
   // One message. An error closes the connection.
-  std::function<Status(std::string_view payload)> on_frame;
+  std::function<Status(std::string_view message)> on_message;
   // The connection has ended for this reason. Called at most once and not
   // after Close().
   std::function<void(std::error_code reason)> on_closed;
@@ -50,7 +50,7 @@
 
   // Queues a message. A peer that does not read is cut off, and so is one to
   // which a message longer than kMaxMessageBytes is sent.
-  void Send(std::string_view payload);
+  void Send(std::string_view message);
 
   // Ends the connection without a call of the handlers.
   void Close();
--- a/base/testing/frame_link_test.cc
+++ b/base/testing/frame_link_test.cc
@@ -20,7 +20,7 @@
       boost::asio::ip::tcp::socket(context),
       FrameHandlers{
           .on_open = nullptr,
-          .on_frame = [](std::string_view) -> Status { return Ok(); },
+          .on_message = [](std::string_view) -> Status { return Ok(); },
           .on_closed = [&](std::error_code error) { reason = error; }});
   link->Send(std::string(kMaxMessageBytes, 'x'));
   EXPECT_FALSE(link->IsClosed());
--- a/daemon/peer_net.cc
+++ b/daemon/peer_net.cc
@@ -78,9 +78,9 @@
   auto link = std::make_shared<FrameLink>(
       std::move(socket),
       FrameHandlers{.on_open = nullptr,
-                    .on_frame =
+                    .on_message =
                         [this, weak_link](std::string_view payload) {
-                          return this->OnFrame(weak_link->lock(), payload);
+                          return this->OnPayload(weak_link->lock(), payload);
                         },
                     .on_closed =
                         [this, weak_link](std::error_code /*reason*/) {
@@ -91,8 +91,8 @@
   return link;
 }
 
-Status PeerNet::OnFrame(const std::shared_ptr<FrameLink>& link,
-                        std::string_view payload) {
+Status PeerNet::OnPayload(const std::shared_ptr<FrameLink>& link,
+                          std::string_view payload) {
   auto message = DecodePeerMessage(payload);
   if (!message) {
     this->damaged_messages.Add();
--- a/daemon/peer_net.h
+++ b/daemon/peer_net.h
@@ -161,8 +161,8 @@
  private:
   void Accept();
   std::shared_ptr<FrameLink> MakeLink(boost::asio::ip::tcp::socket socket);
-  Status OnFrame(const std::shared_ptr<FrameLink>& link,
-                 std::string_view payload);
+  Status OnPayload(const std::shared_ptr<FrameLink>& link,
+                   std::string_view payload);
 
   EventThread* thread;
   Handler handler;
--- a/fleet/planner_nodes.cc
+++ b/fleet/planner_nodes.cc
@@ -80,9 +80,9 @@
   node->link = std::make_shared<FrameLink>(
       tcp::socket(*this->context),
       FrameHandlers{.on_open = nullptr,
-                    .on_frame =
+                    .on_message =
                         [this, vm](std::string_view payload) {
-                          return this->OnFrame(vm, payload);
+                          return this->OnPayload(vm, payload);
                         },
                     .on_closed =
                         [this, vm](std::error_code reason) {
@@ -161,7 +161,8 @@
     this->Ping(vm, &found->second);
 }
 
-Status PlannerNodes::OnFrame(const std::string& vm, std::string_view payload) {
+Status PlannerNodes::OnPayload(const std::string& vm,
+                               std::string_view payload) {
   BOOST_OUTCOME_TRY(message, DecodeFleetMessage(payload));
   Node& node = this->nodes.at(vm);
   node.last_received = BootClock().Now();
--- a/fleet/planner_nodes.h
+++ b/fleet/planner_nodes.h
@@ -125,7 +125,7 @@
   void Connect(const std::string& vm, Node* node);
   void Disconnect(const std::string& vm, Node* node, std::error_code reason);
   void Ping(const std::string& vm, Node* node);
-  Status OnFrame(const std::string& vm, std::string_view payload);
+  Status OnPayload(const std::string& vm, std::string_view payload);
   void OnPong(const std::string& vm, Node* node, const NodePong& pong);
 
   boost::asio::io_context* context;
--- a/fleet/planner_port.cc
+++ b/fleet/planner_port.cc
@@ -78,9 +78,9 @@
   auto link = std::make_shared<FrameLink>(
       std::move(socket),
       FrameHandlers{.on_open = nullptr,
-                    .on_frame =
+                    .on_message =
                         [this, weak_link](std::string_view payload) {
-                          return this->OnFrame(weak_link->lock(), payload);
+                          return this->OnPayload(weak_link->lock(), payload);
                         },
                     .on_closed =
                         [this, weak_link](std::error_code reason) {
@@ -91,8 +91,8 @@
   link->Open();
 }
 
-Status PlannerPort::OnFrame(const std::shared_ptr<FrameLink>& link,
-                            std::string_view payload) {
+Status PlannerPort::OnPayload(const std::shared_ptr<FrameLink>& link,
+                              std::string_view payload) {
   BOOST_OUTCOME_TRY(message, DecodeFleetMessage(payload));
   const uint64_t* sender_epoch = PlannerEpoch(message);
   if (sender_epoch == nullptr)
--- a/fleet/planner_port.h
+++ b/fleet/planner_port.h
@@ -72,8 +72,8 @@
  private:
   void Accept();
   void OpenConnection(boost::asio::ip::tcp::socket socket);
-  Status OnFrame(const std::shared_ptr<FrameLink>& link,
-                 std::string_view payload);
+  Status OnPayload(const std::shared_ptr<FrameLink>& link,
+                   std::string_view payload);
   void OnPing(const std::shared_ptr<FrameLink>& link, const PlannerPing& ping);
   void OnClosed(const std::shared_ptr<FrameLink>& link, std::error_code reason);
 
--- a/fleet/testing/large_messages_test.cc
+++ b/fleet/testing/large_messages_test.cc
@@ -275,5 +275,15 @@
   process.reset();
 }
 
+// Guards against a damaged notice that is read beyond its names, or taken for
+// one that was cut short.
+TEST(FleetMessageTest, AnEstimateWithoutANameIsABadValue) {
+  const EstimateTable table{{"image"}, {{0, 1, 3, 0.5}}};
+  const std::string bytes =
+      EncodeFleetMessage(InterferenceNotice{}).substr(0, 1) +
+      Encode(uint64_t{kEpoch}) + Encode(table);
+  EXPECT_EQ(DecodeFleetMessage(bytes).error(), CodecError::kBadValue);
+}
+
 }  // namespace
 }  // namespace cuminjunction
--- a/fleet/testing/script_planner.h
+++ b/fleet/testing/script_planner.h
@@ -41,9 +41,9 @@
       this->link = std::make_shared<FrameLink>(
           boost::asio::ip::tcp::socket(this->thread.Context()),
           FrameHandlers{.on_open = [this] { this->Ping(); },
-                        .on_frame =
+                        .on_message =
                             [this](std::string_view payload) {
-                              return this->OnFrame(payload);
+                              return this->OnPayload(payload);
                             },
                         .on_closed = [](std::error_code) {}});
       this->link->Connect(process);
@@ -136,7 +136,7 @@
     this->link->Send(EncodeFleetMessage(ping));
   }
 
-  Status OnFrame(std::string_view payload) {
+  Status OnPayload(std::string_view payload) {
     BOOST_OUTCOME_TRY(message, DecodeFleetMessage(payload));
     if (const auto* pong = std::get_if<NodePong>(&message))
       this->timestamp_us = pong->timestamp_us;
